Add the design page, the build and the core interfaces

Cause: the repository was empty; several parts are to be written at the same time against fixed interfaces. Change: docs/design.md with the requirements, the ways weighed for flow consistency and the modules; CMake, format, lint and test scripts; value types of the core (addresses, flow ids, configuration, views, ownership table) and the interfaces of data plane, control plane and object store. Conclusion: parts can be built separately against these headers.

--- /dev/null
+++ b/src/base/instant.h
@@ -0,0 +1,30 @@
+#ifndef BRIARPOINT_BASE_INSTANT_H
+#define BRIARPOINT_BASE_INSTANT_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace briarpoint {
+
+/// Clock tag of the core. The core never reads a clock: callers pass the time as an `instant`.
+/// It has no now() on purpose.
+struct core_clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<core_clock>;
+  static constexpr bool is_steady = true;
+};
+
+/// A point in time, in nanoseconds since an arbitrary epoch that is fixed within a process.
+using instant = core_clock::time_point;
+
+/// A length of time in nanoseconds. State stores deadlines (`instant`); lengths are settings only.
+using duration = core_clock::duration;
+
+/// An instant later than every deadline that is ever set.
+inline constexpr instant Never = instant::max();
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_BASE_INSTANT_H
--- /dev/null
+++ b/src/config/request_class.h
@@ -0,0 +1,16 @@
+#ifndef BRIARPOINT_CONFIG_REQUEST_CLASS_H
+#define BRIARPOINT_CONFIG_REQUEST_CLASS_H
+
+#include <cstddef>
+#include <cstdint>
+
+namespace briarpoint {
+
+/// Priority of a request under overload, most important first.
+enum class request_class : std::uint8_t { Critical, Normal, Bulk };
+
+inline constexpr std::size_t RequestClassCount = 3;
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CONFIG_REQUEST_CLASS_H
--- /dev/null
+++ b/src/core/data/data_plane.h
@@ -0,0 +1,60 @@
+#ifndef BRIARPOINT_CORE_DATA_DATA_PLANE_H
+#define BRIARPOINT_CORE_DATA_DATA_PLANE_H
+
+#include "base/random_source.h"
+#include "core/data/data_plane_counters.h"
+#include "core/data/data_plane_listener.h"
+#include "core/data/data_plane_settings.h"
+#include "core/view/forwarding_view.h"
+
+#include <memory>
+#include <span>
+
+namespace briarpoint {
+
+/// Decides what happens to each packet, and owns the flow records. Not thread-safe; one task drives
+/// it.
+class data_plane {
+public:
+  /// \p Random and \p Listener must outlive the object.
+  data_plane(member_id Self, const data_plane_settings &Settings, random_source &Random,
+             data_plane_listener &Listener);
+  ~data_plane();
+  data_plane(const data_plane &) = delete;
+  data_plane &operator=(const data_plane &) = delete;
+
+  /// Replaces the view. Packets before the first view are dropped.
+  void applyView(std::shared_ptr<const forwarding_view> View, instant Now);
+
+  /// Handles an IP packet that the fabric delivered.
+  void handleForward(std::span<const std::byte> Inner, instant Now);
+
+  /// Handles an IP packet that came from a target's tunnel endpoint.
+  void handleReply(const target_view &Target, std::span<const std::byte> Inner, instant Now);
+
+  /// Handles a packet that another balancer passed on.
+  void handleHandover(const handover &Handover, std::span<const std::byte> Inner, instant Now);
+
+  /// Stores records that another balancer sent.
+  void handleRecords(std::span<const flow_record> Records, instant Now);
+
+  /// Runs what is due: expiry, setup timeouts, background transfer, reports. Call it every 100 ms
+  /// or more often.
+  void tick(instant Now);
+
+  /// Forgets all records; used after the process was paused.
+  void reset(instant Now);
+
+  data_plane_counters counters() const;
+
+  /// Copies all records; for the state dump.
+  std::vector<flow_record> records() const;
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_DATA_DATA_PLANE_H
--- /dev/null
+++ b/src/core/flow/flow_record.h
@@ -0,0 +1,40 @@
+#ifndef BRIARPOINT_CORE_FLOW_FLOW_RECORD_H
+#define BRIARPOINT_CORE_FLOW_FLOW_RECORD_H
+
+#include "base/ids.h"
+#include "net/flow_id.h"
+
+namespace briarpoint {
+
+/// Phase of a flow as its owners know it.
+enum class flow_phase : std::uint8_t {
+  /// The first packet was sent to the target; nothing came back yet.
+  Opening,
+  /// The target replied.
+  Established,
+  /// FIN or RST was seen. The record is kept for the hold time, so that a reused 5-tuple keeps its
+  /// target.
+  Closed,
+};
+
+/// What the owners of a flow share about it. It holds no instants, because clocks of processes
+/// differ; a receiver computes its own deadlines.
+struct flow_record {
+  flow_id Id;
+  target_id Target{};
+  service_id Service{};
+  /// Sequence number of the SYN; tells flows on a reused 5-tuple apart. 0 for UDP.
+  std::uint32_t InitialSequence = 0;
+  /// Seconds until the record expires unless the flow is used, as of sending.
+  std::uint32_t RemainingSeconds = 0;
+  /// Raised by the first owner at each change of phase or target.
+  std::uint16_t Revision = 0;
+  flow_phase Phase = flow_phase::Opening;
+  transport Protocol = transport::Tcp;
+
+  auto operator<=>(const flow_record &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_FLOW_FLOW_RECORD_H
--- /dev/null
+++ b/src/core/member/member_info.h
@@ -0,0 +1,28 @@
+#ifndef BRIARPOINT_CORE_MEMBER_MEMBER_INFO_H
+#define BRIARPOINT_CORE_MEMBER_MEMBER_INFO_H
+
+#include "core/view/member_view.h"
+
+namespace briarpoint {
+
+/// What a balancer announces about itself, and what peers spread about it.
+struct member_info {
+  member_id Id{};
+  std::string Name;
+  std::string DataCentre;
+  std::string Rack;
+  /// Geneve packets (UDP), heartbeats and records (UDP), configuration (TCP).
+  endpoint Data;
+  endpoint Control;
+  endpoint Rpc;
+  /// Raised by the member itself at each start and to refute suspicion; higher replaces lower.
+  std::uint64_t Incarnation = 0;
+  /// Within one incarnation a later state replaces an earlier one.
+  member_state State = member_state::Joining;
+
+  auto operator<=>(const member_info &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_MEMBER_MEMBER_INFO_H
--- /dev/null
+++ b/src/core/view/forwarding_view.h
@@ -0,0 +1,89 @@
+#ifndef BRIARPOINT_CORE_VIEW_FORWARDING_VIEW_H
+#define BRIARPOINT_CORE_VIEW_FORWARDING_VIEW_H
+
+#include "config/configuration.h"
+#include "core/view/member_view.h"
+#include "core/view/ownership_table.h"
+#include "core/view/service_view.h"
+#include "core/view/target_view.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace briarpoint {
+
+/// What a forwarding_view is made from. Filled by the control plane.
+struct forwarding_view_parts {
+  /// Version of the configuration that services and targets come from.
+  config_version Version = 0;
+  std::vector<service_view> Services;
+  std::vector<target_view> Targets;
+  /// All known members that aren't dead, this process included.
+  std::vector<member_view> Members;
+  /// Owners among the ready members.
+  ownership_table Owners;
+  /// Owners as they will be when the joining members are ready; equal to Owners when nobody joins.
+  ownership_table NextOwners;
+  /// False while a data centre in scope can't be reached: a flow unknown here may be known there.
+  bool AllReachable = true;
+};
+
+/// Immutable snapshot of everything that the data plane decides by. The control plane builds a new
+/// one at each change and sends it to the data plane.
+class forwarding_view {
+public:
+  forwarding_view() : forwarding_view(forwarding_view_parts{}) {}
+  explicit forwarding_view(forwarding_view_parts Parts);
+
+  config_version version() const { return Parts.Version; }
+  const std::vector<service_view> &services() const { return Parts.Services; }
+  const std::vector<target_view> &targets() const { return Parts.Targets; }
+  const std::vector<member_view> &members() const { return Parts.Members; }
+  const ownership_table &owners() const { return Parts.Owners; }
+  const ownership_table &nextOwners() const { return Parts.NextOwners; }
+  bool allReachable() const { return Parts.AllReachable; }
+
+  /// Returns the service that listens on this address, port and protocol, and its port; null if
+  /// there is none.
+  struct service_match {
+    const service_view *Service = nullptr;
+    const service_port *Port = nullptr;
+  };
+  service_match matchService(const endpoint &Destination, transport Protocol) const;
+
+  /// Each returns null if there is none.
+  const service_view *findService(service_id Id) const;
+  const target_view *findTarget(target_id Id) const;
+  /// Finds a target by the outer source address of its answers. One host serves one service only
+  /// per tunnel endpoint.
+  const target_view *findTargetByTunnel(const endpoint &Tunnel) const;
+  const member_view *findMember(member_id Id) const;
+  const member_view *findMemberByData(const endpoint &Data) const;
+
+private:
+  struct listener_key {
+    endpoint Destination;
+    transport Protocol;
+    bool operator==(const listener_key &) const = default;
+  };
+  struct endpoint_hash {
+    std::size_t operator()(const endpoint &Endpoint) const noexcept;
+    std::size_t operator()(const listener_key &Key) const noexcept;
+  };
+  struct listener_index {
+    std::uint32_t Service = 0;
+    std::uint32_t Port = 0;
+  };
+
+  forwarding_view_parts Parts;
+  std::unordered_map<listener_key, listener_index, endpoint_hash> Listeners;
+  std::unordered_map<service_id, std::uint32_t> ServiceIndex;
+  std::unordered_map<target_id, std::uint32_t> TargetIndex;
+  std::unordered_map<endpoint, std::uint32_t, endpoint_hash> TunnelIndex;
+  std::unordered_map<member_id, std::uint32_t> MemberIndex;
+  std::unordered_map<endpoint, std::uint32_t, endpoint_hash> DataIndex;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_VIEW_FORWARDING_VIEW_H
--- /dev/null
+++ b/src/core/view/member_view.h
@@ -0,0 +1,40 @@
+#ifndef BRIARPOINT_CORE_VIEW_MEMBER_VIEW_H
+#define BRIARPOINT_CORE_VIEW_MEMBER_VIEW_H
+
+#include "base/ids.h"
+#include "net/endpoint.h"
+
+#include <string>
+
+namespace briarpoint {
+
+/// Life cycle of a balancer as its peers see it.
+enum class member_state : std::uint8_t {
+  /// Collects configuration, members and records; owns nothing yet.
+  Joining,
+  /// Owns its share of the flows.
+  Ready,
+  /// Owns nothing any more; hands packets over until it ends.
+  Leaving,
+  /// Declared dead, or ended.
+  Dead,
+};
+
+/// A balancer as the data plane needs to know it.
+struct member_view {
+  member_id Id{};
+  std::string DataCentre;
+  /// Failure domain within the data centre; empty if unknown.
+  std::string Rack;
+  /// Where it receives Geneve packets (UDP).
+  endpoint Data;
+  member_state State = member_state::Joining;
+  /// No heartbeat lately: not used as a destination of hand-overs while another owner is available.
+  bool Suspected = false;
+
+  auto operator<=>(const member_view &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_VIEW_MEMBER_VIEW_H
