--- /dev/null
+++ b/src/config/json_encoding.h
@@ -0,0 +1,19 @@
+#ifndef BRIARPOINT_CONFIG_JSON_ENCODING_H
+#define BRIARPOINT_CONFIG_JSON_ENCODING_H
+
+#include "config/patch.h"
+
+#include <nlohmann/json.hpp>
+
+namespace briarpoint {
+
+/// JSON values of the parts of a configuration, as the decoder reads them.
+nlohmann::json encode(const service_port &Port);
+nlohmann::json encode(const target_config &Target);
+nlohmann::json encode(const service_config &Service);
+nlohmann::json encode(const configuration &Configuration);
+nlohmann::json encode(const patch &Patch);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CONFIG_JSON_ENCODING_H
--- /dev/null
+++ b/src/config/json_reader.h
@@ -0,0 +1,17 @@
+#ifndef BRIARPOINT_CONFIG_JSON_READER_H
+#define BRIARPOINT_CONFIG_JSON_READER_H
+
+#include "config/document_value.h"
+
+#include <string_view>
+
+namespace briarpoint {
+
+/// Reads JSON text. Values have no position; syntax errors have one.
+/// \throws findings_error for a syntax error, a field that appears twice in an object, nesting of
+/// more than 32 levels, or an object of more than 256 fields.
+document_value readJson(std::string_view Text, const std::string &Source);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CONFIG_JSON_READER_H
--- /dev/null
+++ b/src/config/nearest_name.h
@@ -0,0 +1,17 @@
+#ifndef BRIARPOINT_CONFIG_NEAREST_NAME_H
+#define BRIARPOINT_CONFIG_NEAREST_NAME_H
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace briarpoint {
+
+/// Returns the name with the smallest edit distance to \p Name, for "did you mean" in findings.
+/// Returns nothing if none is close: more than a third of the letters, at least 2, differ.
+std::optional<std::string_view> nearestName(std::string_view Name,
+                                            const std::vector<std::string_view> &Names);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CONFIG_NEAREST_NAME_H
