--- /dev/null
+++ b/src/io/event_loop.cpp
@@ -0,0 +1,64 @@
+#include "io/event_loop.h"
+
+#include <event2/event.h>
+
+#include <stdexcept>
+
+namespace briarpoint {
+
+namespace {
+
+timeval toTimeval(duration Length) {
+  const auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(Length).count();
+  return {Micros / 1'000'000, Micros % 1'000'000};
+}
+
+} // namespace
+
+event_loop::event_loop() : Base(event_base_new()) {
+  if (Base == nullptr)
+    throw std::runtime_error("event_base_new failed");
+}
+
+event_loop::~event_loop() {
+  for (const auto &Registration : Registrations)
+    event_free(Registration->Event);
+  event_base_free(Base);
+}
+
+void event_loop::dispatch(int, short, void *Argument) {
+  static_cast<registration *>(Argument)->Handler();
+}
+
+void event_loop::add(int Descriptor, short Kind, const duration *Interval,
+                     std::function<void()> Handler) {
+  auto Registration = std::make_unique<registration>();
+  Registration->Handler = std::move(Handler);
+  Registration->Event = event_new(Base, Descriptor, static_cast<short>(Kind | EV_PERSIST), dispatch,
+                                  Registration.get());
+  if (Registration->Event == nullptr)
+    throw std::runtime_error("event_new failed");
+  const timeval Time = Interval == nullptr ? timeval{} : toTimeval(*Interval);
+  event_add(Registration->Event, Interval == nullptr ? nullptr : &Time);
+  Registrations.push_back(std::move(Registration));
+}
+
+void event_loop::onReadable(int Descriptor, std::function<void()> Handler) {
+  add(Descriptor, EV_READ, nullptr, std::move(Handler));
+}
+
+void event_loop::onInterval(duration Interval, std::function<void()> Handler) {
+  add(-1, 0, &Interval, std::move(Handler));
+}
+
+void event_loop::onSignal(int Signal, std::function<void()> Handler) {
+  add(Signal, EV_SIGNAL, nullptr, std::move(Handler));
+}
+
+void event_loop::run() { event_base_loop(Base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void event_loop::runOnce(bool Wait) { event_base_loop(Base, Wait ? EVLOOP_ONCE : EVLOOP_NONBLOCK); }
+
+void event_loop::stop() { event_base_loopbreak(Base); }
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/io/send_batch.cpp
@@ -0,0 +1,58 @@
+#include "io/send_batch.h"
+
+#include <cerrno>
+#include <cstring>
+
+namespace briarpoint {
+
+send_batch::send_batch(std::size_t Count, std::size_t MaxHeader, std::size_t MaxBody)
+    : MaxHeader(MaxHeader), MaxBody(MaxBody), HeaderBuffer(Count * MaxHeader),
+      BodyBuffer(Count * MaxBody), Destinations(Count), Vectors(Count * 2), Headers(Count) {}
+
+std::span<std::byte> send_batch::nextHeader() {
+  return {HeaderBuffer.data() + Used * MaxHeader, MaxHeader};
+}
+
+bool send_batch::push(const endpoint &To, std::size_t HeaderSize, std::span<const std::byte> Body,
+                      bool CopyBody) {
+  if (CopyBody) {
+    if (Body.size() > MaxBody)
+      return false;
+    std::byte *const Copy = BodyBuffer.data() + Used * MaxBody;
+    std::memcpy(Copy, Body.data(), Body.size());
+    Body = {Copy, Body.size()};
+  }
+  Destinations[Used] = toSocketAddress(To);
+  iovec *const Parts = &Vectors[Used * 2];
+  Parts[0] = {HeaderBuffer.data() + Used * MaxHeader, HeaderSize};
+  // sendmmsg doesn't write to the body.
+  Parts[1] = {const_cast<std::byte *>(Body.data()), Body.size()};
+  msghdr &Header = Headers[Used].msg_hdr;
+  Header = {};
+  Header.msg_name = Destinations[Used].get();
+  Header.msg_namelen = Destinations[Used].Size;
+  Header.msg_iov = Parts;
+  Header.msg_iovlen = 2;
+  ++Used;
+  return true;
+}
+
+std::size_t send_batch::flush(int Socket) {
+  std::size_t Sent = 0;
+  std::size_t Next = 0;
+  while (Next < Used) {
+    const int Result = sendmmsg(Socket, &Headers[Next], static_cast<unsigned>(Used - Next), 0);
+    if (Result > 0) {
+      Sent += static_cast<std::size_t>(Result);
+      Next += static_cast<std::size_t>(Result);
+    } else if (errno != EINTR) {
+      // The first datagram was refused, for example because nobody listens there (an ICMP message
+      // about an earlier one) or the buffer is full.
+      ++Next;
+    }
+  }
+  Used = 0;
+  return Sent;
+}
+
+} // namespace briarpoint
