Add the simulators of targets and callers

The demo and the daemon's tests need targets, callers and a fabric that follow the published formats.

Add a target (TCP-shaped and UDP responder behind Geneve with faults) and callers (TCP-shaped and UDP flows that check each response), each as a class without sockets or clock and as a program. They write and parse packets independently of the balancer's code, so that both check each other.

--- /dev/null
+++ b/standins/segment.h
@@ -0,0 +1,51 @@
+#ifndef BRIARPOINT_STANDINS_SEGMENT_H
+#define BRIARPOINT_STANDINS_SEGMENT_H
+
+#include "net/endpoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace briarpoint {
+
+/// What a segment carries.
+enum class segment_kind : std::uint8_t { Tcp, Udp, Icmp };
+
+inline constexpr std::uint8_t TcpFin = 0x01;
+inline constexpr std::uint8_t TcpSyn = 0x02;
+inline constexpr std::uint8_t TcpRst = 0x04;
+inline constexpr std::uint8_t TcpAck = 0x10;
+
+/// A TCP segment, UDP datagram or ICMP error with its IP header, as the simulators use it. It is
+/// written and parsed independently of the balancer's code, so that both check each other.
+struct segment {
+  segment_kind Kind = segment_kind::Tcp;
+  /// Of an ICMP error: those of the packet that it answers.
+  endpoint Source;
+  endpoint Destination;
+  /// TCP only.
+  std::uint8_t Flags = 0;
+  std::uint32_t Sequence = 0;
+  std::uint32_t Acknowledgement = 0;
+  /// ICMP only.
+  std::uint8_t IcmpType = 0;
+  std::uint8_t IcmpCode = 0;
+  std::string Payload;
+
+  bool has(std::uint8_t Flag) const { return (Flags & Flag) != 0; }
+  auto operator<=>(const segment &) const = default;
+};
+
+/// Writes a TCP or UDP segment as an IPv4 or IPv6 packet with checksums.
+std::vector<std::byte> encodeSegment(const segment &Segment);
+
+/// Parses an IP packet. Returns nothing if it is malformed or a checksum is wrong.
+std::optional<segment> parseSegment(std::span<const std::byte> Packet);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STANDINS_SEGMENT_H
--- /dev/null
+++ b/standins/udp_port.h
@@ -0,0 +1,36 @@
+#ifndef BRIARPOINT_STANDINS_UDP_PORT_H
+#define BRIARPOINT_STANDINS_UDP_PORT_H
+
+#include "io/file_descriptor.h"
+#include "io/receive_batch.h"
+#include "io/send_batch.h"
+
+#include <functional>
+
+namespace briarpoint {
+
+/// UDP socket of a simulator that receives payloads and sends IP packets in Geneve.
+class udp_port {
+public:
+  /// \throws std::system_error if \p Local can't be bound.
+  explicit udp_port(const endpoint &Local);
+
+  int descriptor() const { return Socket.get(); }
+
+  /// Calls \p Handler for every datagram that is there.
+  void receive(const std::function<void(std::span<const std::byte>)> &Handler);
+
+  /// Sends an IP packet in Geneve.
+  void send(const endpoint &To, std::uint32_t Vni, std::span<const std::byte> Packet);
+  /// Sends what send() collected.
+  void flush();
+
+private:
+  file_descriptor Socket;
+  receive_batch Incoming;
+  send_batch Outgoing;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STANDINS_UDP_PORT_H
