Add the request rules and admission control

A non-idempotent request is run only by the owner that accepted it first. priority_admission lets classes in by order with a minimum share for the lower ones.

--- /dev/null
+++ b/src/core/request/backoff.cpp
@@ -0,0 +1,19 @@
+#include "core/request/backoff.h"
+
+namespace briarpoint {
+
+std::optional<instant> nextRetry(const backoff_settings &Settings, std::uint32_t Retry, instant Now,
+                                 instant Deadline, random_source &Random) {
+  duration Bound = Settings.Base;
+  for (std::uint32_t I = 0; I < Retry && Bound < Settings.Limit; ++I)
+    Bound *= 2;
+  if (Bound > Settings.Limit)
+    Bound = Settings.Limit;
+  const auto Share = static_cast<duration::rep>(Random.unit() * static_cast<double>(Bound.count()));
+  // Compared as a difference: the deadline may be Never.
+  if (Deadline - Now <= duration(Share))
+    return std::nullopt;
+  return Now + duration(Share);
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/request/priority_admission.h
@@ -0,0 +1,44 @@
+#ifndef BRIARPOINT_CORE_REQUEST_PRIORITY_ADMISSION_H
+#define BRIARPOINT_CORE_REQUEST_PRIORITY_ADMISSION_H
+
+#include "base/random_source.h"
+#include "core/request/admission_policy.h"
+#include "core/request/priority_admission_settings.h"
+
+#include <array>
+
+namespace briarpoint {
+
+/// Admission control of one service by priority class. While targets refuse little, everything is
+/// admitted. Otherwise an admission level (share of the offered requests) follows the refusals, and
+/// the classes get it in order; each lower class keeps a minimum share.
+class priority_admission final : public admission_policy {
+public:
+  /// \p Random must outlive the object.
+  priority_admission(const priority_admission_settings &Settings, random_source &Random);
+
+  bool admit(request_class Class, instant Now) override;
+  void recordOutcome(bool Refused, instant Now) override;
+
+  /// Admitted share of the offered requests, 0 to 1.
+  double level() const { return Level; }
+
+private:
+  void closeWindow(instant Now);
+  void adaptLevel();
+  void allocate();
+
+  priority_admission_settings Settings;
+  random_source &Random;
+  double Level = 1.0;
+  instant WindowEnd{};
+  std::uint32_t Outcomes = 0;
+  std::uint32_t Refusals = 0;
+  /// Offered requests per class, decayed at each window.
+  std::array<double, RequestClassCount> Offered{};
+  std::array<double, RequestClassCount> Admission{1.0, 1.0, 1.0};
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_REQUEST_PRIORITY_ADMISSION_H
--- /dev/null
+++ b/src/core/request/request_submission.h
@@ -0,0 +1,24 @@
+#ifndef BRIARPOINT_CORE_REQUEST_REQUEST_SUBMISSION_H
+#define BRIARPOINT_CORE_REQUEST_REQUEST_SUBMISSION_H
+
+#include "core/request/request_record.h"
+
+namespace briarpoint {
+
+/// A request as it arrives from a caller.
+struct request_submission {
+  request_id Id{};
+  request_class Class = request_class::Normal;
+  bool Idempotent = false;
+  /// False only if the adapter knows that no other balancer can have seen this id, for example
+  /// because it arrived on a connection that ends here and isn't marked as a retry.
+  bool MayBeRepeat = true;
+  /// The request must not be started at or after this time.
+  instant Deadline{};
+
+  auto operator<=>(const request_submission &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_REQUEST_REQUEST_SUBMISSION_H
