--- a/src/base/instant.h
+++ b/src/base/instant.h
@@ -13,7 +13,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<core_clock>;
-  static constexpr bool is_steady = true;
+  /// Name required by the standard library.
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 };
 
 /// A point in time, in nanoseconds since an arbitrary epoch that is fixed within a process.
--- a/tests/io/http_test.cpp
+++ b/tests/io/http_test.cpp
@@ -172,6 +172,7 @@
 TEST_F(http_server_running, refusesConnectionsOverTheLimit) {
   start();
   std::vector<file_descriptor> Sockets;
+  Sockets.reserve(5);
   for (int I = 0; I < 5; ++I)
     Sockets.push_back(connectAndSend("GET"));
   while (Server->refusedConnections() < 2)
