Add a first control plane: members, targets, configuration, views

Nothing decided yet who is alive, what targets can take or which configuration is in force, so neither the data plane nor the daemon had views to work with.

- member_controller: ring heartbeats, suspicion by several accusers, death, refutation, dissemination. heartbeat::suspicion now names the accuser, so that one process that hears nobody can't remove the others.
- config_controller: version in force, watch, fetch from peers, patches.
- control_plane joins them; counters() is new in its header.

--- a/src/core/control/control_plane.h
+++ b/src/core/control/control_plane.h
@@ -2,6 +2,7 @@
 #define BRIARPOINT_CORE_CONTROL_CONTROL_PLANE_H
 
 #include "base/random_source.h"
+#include "core/control/control_plane_counters.h"
 #include "core/control/control_plane_listener.h"
 #include "core/control/control_plane_settings.h"
 #include "core/data/target_observation.h"
@@ -70,6 +71,9 @@
   std::vector<member_info> members() const;
   std::vector<target_status> targetStatuses() const;
 
+  /// Events since the start, for metrics and log events.
+  control_plane_counters counters() const;
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- /dev/null
+++ b/src/core/control/control_plane_messages.cpp
@@ -0,0 +1,176 @@
+// What a control plane sends, and when.
+#include "core/control/control_plane_state.h"
+
+#include <algorithm>
+
+namespace briarpoint {
+
+namespace {
+
+/// Shortest time between two heartbeats out of turn.
+constexpr duration UrgentInterval = std::chrono::milliseconds(200);
+constexpr duration AnswerInterval = std::chrono::milliseconds(500);
+/// How often a lost member and a seed that isn't a member are tried, and the platform's list is
+/// read by a process that knows nobody.
+constexpr duration LostInterval = std::chrono::seconds(2);
+constexpr duration SeedInterval = std::chrono::seconds(10);
+constexpr duration JoiningSeedInterval = std::chrono::seconds(1);
+constexpr duration InstancesInterval = std::chrono::seconds(5);
+constexpr duration LastInterval = std::chrono::seconds(1);
+/// Bytes of news in a heartbeat, and what one item takes of them.
+constexpr std::size_t NewsLimit = 900;
+constexpr std::size_t SuspicionSize = 24;
+constexpr std::size_t MemberSize = 120;
+constexpr std::size_t StatusSize = 30;
+constexpr std::size_t MaxSuspicions = 20;
+constexpr std::size_t MaxMembers = 5;
+
+} // namespace
+
+void control_plane::state::sendHeartbeats(instant Time) {
+  UrgentPending |= Members.takeUrgent();
+  UrgentPending |= Targets.takeUrgent();
+  const bool Regular = Time >= NextHeartbeatAt;
+  if (!Regular && !(UrgentPending && Time >= NextUrgentAt))
+    return;
+  if (Regular)
+    NextHeartbeatAt = std::max(NextHeartbeatAt + Settings.HeartbeatInterval,
+                               Time + Settings.HeartbeatInterval / 2);
+  UrgentPending = false;
+  NextUrgentAt = Time + UrgentInterval;
+  sendRound(Time);
+}
+
+void control_plane::state::sendRound(instant Time) {
+  // Whoever is suspected must hear of it, also if it isn't a receiver.
+  std::vector<member_id> To = Members.receivers();
+  for (const member_id Accused : Members.accused())
+    if (std::find(To.begin(), To.end(), Accused) == To.end())
+      To.push_back(Accused);
+  if (To.empty())
+    return;
+  heartbeat Message = makeHeartbeat();
+  fillNews(Message, static_cast<std::uint32_t>(To.size()), Time);
+  const peer_message Sent = std::move(Message);
+  for (const member_id Id : To)
+    Listener.sendMessage(Members.find(Id)->Info.Control, Sent);
+}
+
+heartbeat control_plane::state::makeHeartbeat() const {
+  heartbeat Message;
+  Message.Sender = Members.self();
+  Message.Version = Configs.inForce()->Version;
+  Message.MemberDigest = Members.digest();
+  Message.StatusDigest = Targets.digest();
+  return Message;
+}
+
+void control_plane::state::fillNews(heartbeat &Message, std::uint32_t Copies, instant Time) {
+  // Suspicions are the most urgent, then members; statuses take what is left.
+  Message.Suspects = Members.takeSuspicions(MaxSuspicions, Copies, Time);
+  std::size_t Left = NewsLimit - Message.Suspects.size() * SuspicionSize;
+  Message.Members = Members.takeUpdates(std::min(MaxMembers, Left / MemberSize), Copies);
+  Left -= Message.Members.size() * MemberSize;
+  Message.Statuses = Targets.takeUpdates(Left / StatusSize, Copies);
+}
+
+void control_plane::state::answer(const heartbeat &Received, instant Time) {
+  std::erase_if(NextAnswerAt, [&](const auto &Item) { return Time >= Item.second; });
+  const member_id Peer = Received.Sender.Id;
+  if (!NextAnswerAt.try_emplace(Peer, Time + AnswerInterval).second)
+    return;
+  heartbeat Message = makeHeartbeat();
+  // What is believed of the peer, so that it can refute it.
+  if (const member_entry *Entry = Members.find(Peer))
+    Message.Members.push_back(Entry->Info);
+  Listener.sendMessage(Received.Sender.Control, Message);
+}
+
+void control_plane::state::seekPeers(instant Time) {
+  // A member that was declared dead may be behind a partition that has ended.
+  if (Time >= NextLostAt) {
+    NextLostAt = Time + LostInterval;
+    if (const std::optional<member_info> Lost = Members.pickLost(Random))
+      Listener.sendMessage(Lost->Control, makeHeartbeat());
+  }
+  const bool Alone = Members.receivers().empty();
+  if (Time >= NextSeedAt) {
+    NextSeedAt = Time + (Alone ? JoiningSeedInterval : SeedInterval);
+    std::vector<endpoint> Unknown;
+    for (const std::vector<endpoint> *List : {&Settings.Seeds, &Instances})
+      for (const endpoint &Seed : *List)
+        if (!Members.isKnownControl(Seed))
+          Unknown.push_back(Seed);
+    // A process that knows nobody asks everybody; otherwise one at a time will do.
+    if (!Alone && !Unknown.empty())
+      Unknown = {Unknown[Random.below(Unknown.size())]};
+    for (const endpoint &Seed : Unknown)
+      Listener.sendMessage(Seed, makeHeartbeat());
+  }
+  if (Alone && Time >= NextInstancesAt) {
+    NextInstancesAt = Time + InstancesInterval;
+    askForInstances();
+  }
+}
+
+void control_plane::state::askForInstances() {
+  Platform.listInstances([this](object_status Status, const std::vector<instance_entry> &List) {
+    InstancesKnown = true;
+    if (Status != object_status::Ok)
+      return;
+    Instances.clear();
+    for (const instance_entry &Instance : List) {
+      const std::optional<endpoint> Control = parseEndpoint(Instance.Control);
+      if (Control && !Instance.Leaving)
+        Instances.push_back(*Control);
+    }
+  });
+}
+
+void control_plane::state::sendFullState(const member_info &To, bool WantsReply, instant Time) {
+  full_state All;
+  All.Sender = Members.self().Id;
+  All.Version = Configs.inForce()->Version;
+  All.WantsReply = WantsReply;
+  All.Members = Members.fullState(Time);
+  All.Statuses = Targets.fullState();
+  for (full_state &Message : splitFullState(All)) {
+    ++Counters.FullStates;
+    Listener.sendMessage(To.Control, std::move(Message));
+  }
+}
+
+void control_plane::state::runExchange(instant Time) {
+  const std::optional<member_id> Peer = Exchange.takeDue(Time);
+  if (!Peer)
+    return;
+  const member_entry *Entry = Members.find(*Peer);
+  if (Entry != nullptr && !Entry->isDead() && Exchange.takeAnswer(*Peer, Time))
+    sendFullState(Entry->Info, true, Time);
+}
+
+void control_plane::state::sendLast(const member_entry &To) {
+  record_batch Batch;
+  Batch.Sender = Members.self().Id;
+  Batch.Last = true;
+  Batch.ReceiverIncarnation = Finished.at(To.Info.Id);
+  Listener.sendMessage(To.Info.Control, Batch);
+}
+
+void control_plane::state::repeatLast(instant Time) {
+  if (Time < NextLastAt)
+    return;
+  NextLastAt = Time + LastInterval;
+  // The marker may be lost, and the receiver waits for it.
+  for (auto Item = Finished.begin(); Item != Finished.end();) {
+    const member_entry *Entry = Members.find(Item->first);
+    if (Entry == nullptr || Entry->Info.State != member_state::Joining) {
+      Item = Finished.erase(Item);
+      continue;
+    }
+    sendLast(*Entry);
+    ++Item;
+  }
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/control/join_progress.cpp
@@ -0,0 +1,50 @@
+#include "core/control/join_progress.h"
+
+namespace briarpoint {
+
+namespace {
+
+/// Time in which processes that start together find each other.
+constexpr duration ShortestJoin = std::chrono::seconds(2);
+
+} // namespace
+
+void join_progress::begin(std::uint64_t Incarnation, instant Now, instant JoinLimit) {
+  FirstIncarnation = Incarnation;
+  Earliest = Now + ShortestJoin;
+  Limit = JoinLimit;
+  AgreedWithReady = AgreedWithAny = false;
+  Transferred.clear();
+}
+
+void join_progress::noteAgreement(const member_info &Peer) {
+  AgreedWithAny = true;
+  AgreedWithReady |= Peer.State == member_state::Ready;
+}
+
+void join_progress::noteTransferred(member_id Peer, std::uint64_t ReceiverIncarnation) {
+  // A refutation raises the incarnation without losing records; a start or a pause begins anew.
+  if (ReceiverIncarnation >= FirstIncarnation)
+    Transferred.insert(Peer);
+}
+
+bool join_progress::isComplete(const member_controller &Members, ownership_scope Scope,
+                               bool HasConfiguration, bool Alone, instant Now) const {
+  if (Now >= Limit)
+    return true;
+  if (Now < Earliest || !HasConfiguration)
+    return false;
+  bool ReadyPeers = false;
+  for (const auto &[Id, Entry] : Members.others()) {
+    if (Entry.Info.State != member_state::Ready || Entry.Suspected)
+      continue;
+    ReadyPeers = true;
+    const bool HasRecords =
+        Scope == ownership_scope::All || Entry.Info.DataCentre == Members.self().DataCentre;
+    if (HasRecords && !Transferred.contains(Id))
+      return false;
+  }
+  return ReadyPeers ? AgreedWithReady : AgreedWithAny || Alone;
+}
+
+} // namespace briarpoint
--- a/src/core/control/peer_message.h
+++ b/src/core/control/peer_message.h
@@ -4,6 +4,7 @@
 #include "config/configuration.h"
 #include "core/flow/flow_record.h"
 #include "core/member/member_info.h"
+#include "core/member/member_suspicion.h"
 #include "core/target/target_status.h"
 
 #include <variant>
@@ -20,14 +21,10 @@
   std::uint64_t MemberDigest = 0;
   std::uint64_t StatusDigest = 0;
   /// Piggybacked updates. A suspected member is listed in Suspects with the incarnation that is
-  /// doubted.
+  /// doubted and who doubts it.
   std::vector<member_info> Members;
   std::vector<target_status> Statuses;
-  struct suspicion {
-    member_id Member{};
-    std::uint64_t Incarnation = 0;
-    auto operator<=>(const suspicion &) const = default;
-  };
+  using suspicion = member_suspicion;
   std::vector<suspicion> Suspects;
 
   auto operator<=>(const heartbeat &) const = default;
--- /dev/null
+++ b/src/core/control/view_builder.h
@@ -0,0 +1,42 @@
+#ifndef BRIARPOINT_CORE_CONTROL_VIEW_BUILDER_H
+#define BRIARPOINT_CORE_CONTROL_VIEW_BUILDER_H
+
+#include "core/target/target_controller.h"
+#include "core/view/forwarding_view.h"
+
+#include <memory>
+#include <string>
+
+namespace briarpoint {
+
+/// Builds views for the data plane, and only when something in them changed.
+class view_builder {
+public:
+  view_builder(ownership_scope Scope, std::string DataCentre);
+
+  /// Returns the view, or null if it would equal the one before.
+  std::shared_ptr<const forwarding_view> build(const configuration &Configuration,
+                                               const std::vector<member_view> &Members,
+                                               const target_controller &Targets, bool AllReachable);
+
+  /// Ownership tables that were built.
+  std::uint64_t tablesBuilt() const { return Tables; }
+
+private:
+  void updateOwners(const std::vector<member_view> &Members);
+  static void addServices(const configuration &Configuration, const target_controller &Targets,
+                          forwarding_view_parts &Parts);
+
+  ownership_scope Scope;
+  std::string DataCentre;
+  /// Members that the tables were built from, without what doesn't matter for them.
+  std::vector<member_view> Owning;
+  ownership_table Owners;
+  ownership_table NextOwners;
+  std::shared_ptr<const forwarding_view> Last;
+  std::uint64_t Tables = 0;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_CONTROL_VIEW_BUILDER_H
--- /dev/null
+++ b/src/core/member/member_controller.cpp
@@ -0,0 +1,318 @@
+#include "core/member/member_controller.h"
+
+#include <algorithm>
+
+namespace briarpoint {
+
+namespace {
+
+/// How long a relayed accusation counts, and how long its copies are ignored afterwards.
+constexpr duration AccusationLife = std::chrono::seconds(3);
+constexpr duration AccusationMemory = std::chrono::seconds(30);
+/// A process that hears nobody declares others dead only after this time: it may be deaf itself,
+/// and would otherwise take over all flows.
+constexpr duration DeafPatience = std::chrono::seconds(10);
+constexpr std::size_t UsualQuorum = 2;
+
+} // namespace
+
+member_controller::member_controller(const member_settings &Settings)
+    : Settings(Settings), Self(Settings.Self) {
+  Updates.add(Self.Id, copies());
+}
+
+void member_controller::setState(member_state State) {
+  if (Self.State == State)
+    return;
+  Self.State = State;
+  Updates.add(Self.Id, copies());
+  Urgent = true;
+  RingChanged = true;
+  ++Generation;
+}
+
+void member_controller::restart(instant Now) {
+  ++Self.Incarnation;
+  Self.State = member_state::Joining;
+  Updates.add(Self.Id, copies());
+  DeafAt = Now + Settings.SuspectAfter;
+  for (auto &[Id, Entry] : Entries) {
+    Entry.Accusers.erase(Self.Id);
+    Entry.SilentAt = Now + suspectAfter(Entry);
+    if (Entry.isDead())
+      continue;
+    Entry.Suspected = false;
+    Entry.DeadAt = Never;
+  }
+  Urgent = true;
+  RingChanged = true;
+  ++Generation;
+}
+
+void member_controller::refute(std::uint64_t Doubted) {
+  if (Doubted < Self.Incarnation)
+    return;
+  Self.Incarnation = Doubted + 1;
+  Updates.add(Self.Id, copies());
+  Urgent = true;
+}
+
+bool member_controller::handleHeartbeat(const member_info &Sender,
+                                        std::span<const member_info> News,
+                                        std::span<const member_suspicion> Suspicions, instant Now) {
+  if (Sender.Id == Self.Id)
+    return false;
+  DeafAt = Now + Settings.SuspectAfter;
+
+  // The sender speaks for itself, so nobody else's accusation is needed to believe it. One that is
+  // taken for dead must raise its incarnation first.
+  merge(Sender.Id, Sender, Now);
+  member_entry &Entry = Entries.at(Sender.Id);
+  const bool Current = Entry.Info.Incarnation == Sender.Incarnation;
+  const bool Outdated = !Current || (Entry.isDead() && Sender.State != member_state::Dead);
+  if (!Outdated) {
+    Entry.Heard = true;
+    Entry.SilentAt = Now + suspectAfter(Entry);
+    Entry.Accusers.erase(Self.Id);
+    evaluate(Entry, Now);
+  }
+
+  const std::uint64_t Before = Self.Incarnation;
+  handleMembers(Sender.Id, News, Now);
+  withdraw(Sender.Id, Suspicions, Now);
+  for (const member_suspicion &Suspicion : Suspicions)
+    accuse(Sender.Id, Suspicion, Now);
+  return Outdated || Self.Incarnation != Before;
+}
+
+void member_controller::handleMembers(member_id Sender, std::span<const member_info> News,
+                                      instant Now) {
+  for (const member_info &Update : News)
+    merge(Sender, Update, Now);
+}
+
+void member_controller::merge(member_id Sender, const member_info &Update, instant Now) {
+  if (Update.Id == Self.Id) {
+    // Something older or wrong about this process circulates: outbid it.
+    if (Update.State == member_state::Dead || Update.Incarnation > Self.Incarnation)
+      refute(Update.Incarnation);
+    return;
+  }
+  const auto Found = Entries.find(Update.Id);
+  if (Found == Entries.end()) {
+    replace(Entries[Update.Id], Update, Now);
+    return;
+  }
+  member_entry &Entry = Found->second;
+  if (Update.Incarnation < Entry.Info.Incarnation ||
+      (Update.Incarnation == Entry.Info.Incarnation && Update.State <= Entry.Info.State))
+    return;
+  if (Update.State == member_state::Dead)
+    acceptDeath(Sender, Entry, Now);
+  else
+    replace(Entry, Update, Now);
+}
+
+void member_controller::replace(member_entry &Entry, const member_info &Update, instant Now) {
+  const bool Newer = Update.Incarnation > Entry.Info.Incarnation;
+  if (Newer)
+    noteRefutation(Entry, Update, Now);
+  const bool MovesInRing = Entry.Info.Id == NoMember || Entry.isDead() ||
+                           Update.State == member_state::Dead ||
+                           Entry.Info.DataCentre != Update.DataCentre;
+  Entry.Info = Update;
+  RingChanged |= MovesInRing;
+  ++Generation;
+  if (Update.State == member_state::Dead) {
+    markDead(Entry, Now);
+    return;
+  }
+  Entry.Left = Update.State == member_state::Leaving;
+  if (Newer) {
+    Entry.Heard = false;
+    Entry.SilentAt = Now + suspectAfter(Entry);
+    Entry.Accusers.clear();
+    Entry.Suspected = false;
+    Entry.DeadAt = Entry.SpreadUntil = Entry.ForgetAt = Never;
+  }
+  Updates.add(Update.Id, copies());
+  Urgent = true;
+}
+
+void member_controller::noteRefutation(member_entry &Entry, const member_info &Update,
+                                       instant Now) const {
+  // A process that starts again refutes nothing.
+  const bool Refuted = (Entry.Suspected || Entry.isDead()) && Update.State != member_state::Joining;
+  if (!Refuted)
+    return;
+  ++Entry.Refutations;
+  Entry.RefutationsLapse = Now + Settings.DampingWindow;
+}
+
+void member_controller::acceptDeath(member_id Sender, member_entry &Entry, instant Now) {
+  // A death is believed at once of a member that is suspected or leaving. Otherwise it counts as
+  // one accusation, so that a single process that hears nothing can't remove the others.
+  if (Entry.Suspected || Entry.Info.State == member_state::Leaving)
+    markDead(Entry, Now);
+  else
+    accuse(Sender, {Entry.Info.Id, Entry.Info.Incarnation, Sender}, Now);
+}
+
+void member_controller::markDead(member_entry &Entry, instant Now) {
+  Entry.Info.State = member_state::Dead;
+  Entry.Suspected = false;
+  Entry.Accusers.clear();
+  Entry.DeadAt = Never;
+  Entry.SpreadUntil = Now + Settings.DeathSpread;
+  Entry.ForgetAt = Now + Settings.DeadKeep;
+  Updates.add(Entry.Info.Id, copies());
+  Urgent = true;
+  RingChanged = true;
+  ++Generation;
+}
+
+void member_controller::accuse(member_id Sender, const member_suspicion &Suspicion, instant Now) {
+  if (Suspicion.Member == Self.Id) {
+    refute(Suspicion.Incarnation);
+    return;
+  }
+  const auto Found = Entries.find(Suspicion.Member);
+  if (Found == Entries.end() || Suspicion.Accuser == Self.Id)
+    return;
+  member_entry &Entry = Found->second;
+  if (Entry.isDead() || Entry.Info.Incarnation != Suspicion.Incarnation)
+    return;
+  const auto [Accuser, IsNew] = Entry.Accusers.try_emplace(Suspicion.Accuser, instant::min());
+  const bool FirstHand = Suspicion.Accuser == Sender;
+  if (!IsNew && !FirstHand)
+    return;
+  Accuser->second = Now + AccusationLife;
+  if (IsNew) {
+    Relayed.add({Suspicion.Member, Suspicion.Accuser}, copies());
+    Urgent = true;
+  }
+}
+
+void member_controller::withdraw(member_id Accuser, std::span<const member_suspicion> Suspicions,
+                                 instant Now) {
+  for (auto &[Id, Entry] : Entries) {
+    const auto Found = Entry.Accusers.find(Accuser);
+    if (Found == Entry.Accusers.end())
+      continue;
+    const bool Repeated = std::any_of(
+        Suspicions.begin(), Suspicions.end(), [&, Member = Id](const member_suspicion &Suspicion) {
+          return Suspicion.Member == Member && Suspicion.Accuser == Accuser;
+        });
+    if (!Repeated)
+      Found->second = std::min(Found->second, Now);
+  }
+}
+
+duration member_controller::suspectAfter(const member_entry &Entry) const {
+  // A member that refuted often is suspected more slowly, at most after twice the time.
+  const std::uint32_t Steps = Entry.isDamped() ? std::min(Entry.Refutations - 1, 2U) : 0;
+  return Settings.SuspectAfter + Settings.SuspectAfter * Steps / 2;
+}
+
+void member_controller::tick(instant Now) {
+  if (DeafAt == Never)
+    DeafAt = Now + Settings.SuspectAfter;
+  if (RingChanged)
+    rebuildRing(Now);
+  for (auto &[Id, Entry] : Entries) {
+    if (Now >= Entry.RefutationsLapse) {
+      Entry.Refutations = 0;
+      Entry.RefutationsLapse = Never;
+    }
+    if (Entry.isDead())
+      continue;
+    watchSilence(Entry, Now);
+    evaluate(Entry, Now);
+  }
+  forget(Now);
+  if (RingChanged)
+    rebuildRing(Now);
+}
+
+void member_controller::watchSilence(member_entry &Entry, instant Now) {
+  if (!Entry.Monitored || Now < Entry.SilentAt)
+    return;
+  // Of itself, an accusation doesn't lapse; it ends with the next heartbeat or incarnation.
+  if (Entry.Accusers.insert_or_assign(Self.Id, Never).second)
+    Urgent = true;
+}
+
+std::size_t member_controller::quorum(const member_entry &Entry) const {
+  std::size_t Monitors = 0;
+  for (const member_id Monitor : Entry.Monitors)
+    Monitors += isAlive(Monitor) ? 1 : 0;
+  const std::size_t Needed = Entry.isDamped() ? Monitors / 2 + 1 : UsualQuorum;
+  return std::max<std::size_t>(1, std::min(Needed, Monitors));
+}
+
+bool member_controller::isAlive(member_id Member) const {
+  if (Member == Self.Id)
+    return true;
+  const member_entry *Entry = find(Member);
+  return Entry != nullptr && !Entry->isDead() && !Entry->Suspected;
+}
+
+void member_controller::evaluate(member_entry &Entry, instant Now) {
+  // Count the accusations that hold, and those from this data centre.
+  std::size_t Accusers = 0;
+  std::size_t Near = 0;
+  for (const auto &[Accuser, Until] : Entry.Accusers) {
+    if (Now >= Until)
+      continue;
+    ++Accusers;
+    const member_entry *Other = find(Accuser);
+    Near += Other == nullptr || Other->Info.DataCentre == Self.DataCentre ? 1 : 0;
+  }
+  std::erase_if(Entry.Accusers, [&](const auto &Accuser) {
+    return Accuser.second != Never && Now >= Accuser.second + AccusationMemory;
+  });
+
+  // Whoever hears the member itself needs no hearsay.
+  const bool Fresh = Entry.Monitored && Entry.Heard && Now < Entry.SilentAt;
+  const bool FirstHand = Entry.Accusers.contains(Self.Id);
+  const bool Agreed = Accusers >= quorum(Entry);
+  const bool Suspected = !Fresh && (FirstHand || (Accusers > 0 && (Agreed || Near >= UsualQuorum)));
+  if (Suspected != Entry.Suspected) {
+    Entry.Suspected = Suspected;
+    Entry.DeadAt = Suspected ? Now + Settings.DeadAfter : Never;
+    ++Generation;
+  }
+  const duration Patience = Now >= DeafAt ? DeafPatience : duration::zero();
+  if (Suspected && Agreed && Now >= Entry.DeadAt && Now - Entry.DeadAt >= Patience)
+    markDead(Entry, Now);
+}
+
+void member_controller::rebuildRing(instant Now) {
+  RingChanged = false;
+  heartbeat_ring Ring(Settings.Scope, Settings.RingSuccessors);
+  Ring.add(Self.Id, Self.DataCentre);
+  for (const auto &[Id, Entry] : Entries)
+    if (!Entry.isDead())
+      Ring.add(Id, Entry.Info.DataCentre);
+  Receivers = Ring.receiversOf(Self.Id, Self.DataCentre);
+  for (auto &[Id, Entry] : Entries) {
+    if (Entry.isDead())
+      continue;
+    Entry.Monitors = Ring.receiversOf(Id, Entry.Info.DataCentre);
+    const bool Monitored =
+        std::find(Entry.Monitors.begin(), Entry.Monitors.end(), Self.Id) != Entry.Monitors.end();
+    // The member may need a moment to learn that this process waits for its heartbeats.
+    if (Monitored && !Entry.Monitored)
+      Entry.SilentAt = Now + suspectAfter(Entry);
+    if (!Monitored)
+      Entry.Accusers.erase(Self.Id);
+    Entry.Monitored = Monitored;
+  }
+}
+
+void member_controller::forget(instant Now) {
+  if (std::erase_if(Entries, [&](const auto &Item) { return Now >= Item.second.ForgetAt; }) > 0)
+    ++Generation;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/member/member_controller.h
@@ -0,0 +1,114 @@
+#ifndef BRIARPOINT_CORE_MEMBER_MEMBER_CONTROLLER_H
+#define BRIARPOINT_CORE_MEMBER_MEMBER_CONTROLLER_H
+
+#include "base/random_source.h"
+#include "core/member/dissemination_queue.h"
+#include "core/member/heartbeat_ring.h"
+#include "core/member/member_entry.h"
+#include "core/member/member_settings.h"
+#include "core/member/member_suspicion.h"
+
+#include <optional>
+#include <span>
+
+namespace briarpoint {
+
+/// Membership as this process sees it: who exists, who is suspected, who is dead. It sends nothing
+/// itself; its owner asks for receivers and content of heartbeats.
+class member_controller {
+public:
+  explicit member_controller(const member_settings &Settings);
+
+  const member_info &self() const { return Self; }
+
+  /// Changes the state that this process announces.
+  void setState(member_state State);
+
+  /// Forgets suspicions and joins anew with a higher incarnation, after a pause.
+  void restart(instant Now);
+
+  /// Applies a heartbeat: its sender is alive, the rest is news. Returns true if the sender should
+  /// get a heartbeat at once, because it is taken for dead or suspects this process.
+  bool handleHeartbeat(const member_info &Sender, std::span<const member_info> Updates,
+                       std::span<const member_suspicion> Suspicions, instant Now);
+
+  /// Applies member entries that \p Sender passed on.
+  void handleMembers(member_id Sender, std::span<const member_info> Updates, instant Now);
+
+  /// Suspects silent members and declares suspected ones dead.
+  void tick(instant Now);
+
+  /// Members that get this process's heartbeats.
+  const std::vector<member_id> &receivers() const { return Receivers; }
+
+  /// Members that this process suspects itself, who should hear of it to refute it.
+  std::vector<member_id> accused() const;
+
+  /// News for one heartbeat that goes to \p Copies receivers.
+  std::vector<member_info> takeUpdates(std::size_t Limit, std::uint32_t Copies);
+  std::vector<member_suspicion> takeSuspicions(std::size_t Limit, std::uint32_t Copies,
+                                               instant Now);
+
+  /// True once after something arose that should be spread without waiting for the next heartbeat.
+  bool takeUrgent();
+
+  /// Digest of members that aren't dead, with incarnation and state.
+  std::uint64_t digest() const;
+
+  /// All entries for a full state, this process's own included.
+  std::vector<member_info> fullState(instant Now) const;
+
+  /// A dead member that didn't announce its end, to be tried again; nothing if there is none.
+  std::optional<member_info> pickLost(random_source &Random) const;
+
+  /// Null if unknown; never this process.
+  const member_entry *find(member_id Member) const;
+  const std::map<member_id, member_entry> &others() const { return Entries; }
+
+  /// True if \p Control belongs to this process or to a member that isn't dead.
+  bool isKnownControl(const endpoint &Control) const;
+
+  /// Members that aren't dead, this process included, ordered by id.
+  std::vector<member_view> views() const;
+
+  /// False while a data centre in scope has members of which none is heard of.
+  bool allReachable() const;
+
+  /// Raised at each change of views() or allReachable().
+  std::uint64_t generation() const { return Generation; }
+
+private:
+  void refute(std::uint64_t Doubted);
+  void merge(member_id Sender, const member_info &Update, instant Now);
+  void replace(member_entry &Entry, const member_info &Update, instant Now);
+  void noteRefutation(member_entry &Entry, const member_info &Update, instant Now) const;
+  void acceptDeath(member_id Sender, member_entry &Entry, instant Now);
+  void markDead(member_entry &Entry, instant Now);
+  void accuse(member_id Sender, const member_suspicion &Suspicion, instant Now);
+  void withdraw(member_id Accuser, std::span<const member_suspicion> Suspicions, instant Now);
+  void watchSilence(member_entry &Entry, instant Now);
+  void evaluate(member_entry &Entry, instant Now);
+  std::size_t quorum(const member_entry &Entry) const;
+  bool isAlive(member_id Member) const;
+  duration suspectAfter(const member_entry &Entry) const;
+  void rebuildRing(instant Now);
+  void forget(instant Now);
+  std::uint32_t copies() const { return disseminationCopies(Entries.size()); }
+
+  member_settings Settings;
+  member_info Self;
+  std::map<member_id, member_entry> Entries;
+  std::vector<member_id> Receivers;
+  dissemination_queue<member_id> Updates;
+  dissemination_queue<std::pair<member_id, member_id>> Relayed;
+  /// When hearing nobody becomes remarkable; from then on this process can't tell its own deafness
+  /// from the others' death.
+  instant DeafAt = Never;
+  bool Urgent = false;
+  bool RingChanged = true;
+  std::uint64_t Generation = 1;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_MEMBER_MEMBER_CONTROLLER_H
--- /dev/null
+++ b/src/core/member/member_settings.h
@@ -0,0 +1,32 @@
+#ifndef BRIARPOINT_CORE_MEMBER_MEMBER_SETTINGS_H
+#define BRIARPOINT_CORE_MEMBER_MEMBER_SETTINGS_H
+
+#include "base/instant.h"
+#include "core/member/member_info.h"
+#include "core/view/ownership_table.h"
+
+namespace briarpoint {
+
+/// Settings of the membership.
+struct member_settings {
+  member_info Self;
+  ownership_scope Scope = ownership_scope::DataCentre;
+  duration HeartbeatInterval = std::chrono::seconds(1);
+  /// Silence after which a member is suspected; at most doubled for a member that refuted often.
+  duration SuspectAfter = std::chrono::milliseconds(2500);
+  duration DeadAfter = std::chrono::milliseconds(1500);
+  std::uint32_t RingSuccessors = 8;
+  /// Time in which refutations of a member count towards its dampening.
+  duration DampingWindow = std::chrono::seconds(60);
+  /// How long a dead member is remembered and tried again now and then. A region can be cut off for
+  /// minutes, and the seeds may all have been replaced in the meantime.
+  duration DeadKeep = std::chrono::hours(1);
+  /// How long a death is part of the full state.
+  duration DeathSpread = std::chrono::minutes(5);
+
+  auto operator<=>(const member_settings &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_MEMBER_MEMBER_SETTINGS_H
--- /dev/null
+++ b/src/core/sync/config_controller.cpp
@@ -0,0 +1,232 @@
+#include "core/sync/config_controller.h"
+
+#include "base/findings_error.h"
+#include "core/sync/config_loader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarpoint {
+
+namespace {
+
+constexpr duration FirstReadRetry = std::chrono::seconds(1);
+constexpr std::uint32_t MaxReadDoublings = 4;
+
+} // namespace
+
+config_controller::config_controller(const config_settings &Settings, object_store &Store,
+                                     random_source &Random, config_listener &Listener)
+    : Settings(Settings), Listener(Listener), Store(Store, Random) {}
+
+void config_controller::start(instant Now) {
+  Store.tick(Now);
+  FirstReadDeadline = Now + Settings.FirstReadLimit;
+  readPlatform();
+}
+
+void config_controller::tick(instant Now) {
+  Store.tick(Now);
+  if (Now >= FirstReadDeadline) {
+    FirstReadDone = true;
+    FirstReadDeadline = Never;
+  }
+  if (Now >= FetchDeadline)
+    handleFetchFailure(FetchingFrom);
+  if (Now >= ReadAgainAt) {
+    ReadAgainAt = Never;
+    if (Sources.empty())
+      readPlatform();
+    else
+      fetchNext();
+  }
+  if (Running != nullptr && Running->finished())
+    Running.reset();
+  startPatch();
+}
+
+void config_controller::adopt(std::shared_ptr<const configuration> Configuration) {
+  if (Configuration == nullptr || Configuration->Version <= InForce->Version)
+    return;
+  InForce = std::move(Configuration);
+  HighestSeen = std::max(HighestSeen, InForce->Version);
+  std::erase_if(Sources, [&](const auto &Item) { return Item.second.Version <= InForce->Version; });
+  Listener.configurationAdopted(InForce);
+}
+
+bool config_controller::isCurrent() const {
+  return FirstReadDone && InForce->Version >= HighestSeen &&
+         (InForce->Version > 0 || PlatformEmpty);
+}
+
+void config_controller::handlePeerVersion(member_id From, const endpoint &Rpc,
+                                          config_version Version) {
+  HighestSeen = std::max(HighestSeen, Version);
+  if (Version <= InForce->Version)
+    return;
+  Sources[From] = {Rpc, Version};
+  if (FetchingFrom == NoMember && ReadAgainAt == Never && !Reading)
+    fetchNext();
+}
+
+void config_controller::fetchNext() {
+  // Ask the peer with the highest version.
+  const auto Best =
+      std::max_element(Sources.begin(), Sources.end(), [](const auto &A, const auto &B) {
+        return A.second.Version < B.second.Version;
+      });
+  if (Best == Sources.end())
+    return;
+  FetchingFrom = Best->first;
+  FetchDeadline = Store.now() + Settings.FetchLimit;
+  const source Source = Best->second;
+  Listener.fetchFromPeer(FetchingFrom, Source.Rpc, Source.Version);
+}
+
+void config_controller::handleConfiguration(member_id From,
+                                            std::shared_ptr<const configuration> Configuration) {
+  if (From == FetchingFrom) {
+    FetchingFrom = NoMember;
+    FetchDeadline = Never;
+    FetchFailures = 0;
+    // Also forgets a peer that answered with less than it announced.
+    Sources.erase(From);
+  }
+  adopt(std::move(Configuration));
+  if (FetchingFrom == NoMember)
+    fetchNext();
+}
+
+void config_controller::handleFetchFailure(member_id From) {
+  if (From != FetchingFrom || From == NoMember)
+    return;
+  FetchingFrom = NoMember;
+  FetchDeadline = Never;
+  Sources.erase(From);
+  if (++FetchFailures < Settings.FetchAttempts && !Sources.empty()) {
+    fetchNext();
+    return;
+  }
+  FetchFailures = 0;
+  readPlatform();
+}
+
+void config_controller::readPlatform() {
+  if (Reading)
+    return;
+  Reading = true;
+  Store.get(
+      HeadKey, [this](const object_result &Result) { handleHead(Result, false); }, 1);
+}
+
+void config_controller::handleHead(const object_result &Result, bool Watched) {
+  if (!Watched)
+    Reading = false;
+  const bool Answered =
+      Result.Status == object_status::Ok || Result.Status == object_status::NotFound;
+  if (!Answered) {
+    FirstReadDone = true;
+    // Peers repeat their version; without them only the platform can help.
+    if (InForce->Version < HighestSeen || InForce->Version == 0)
+      ReadAgainAt =
+          Store.now() + FirstReadRetry * (1U << std::min(ReadFailures++, MaxReadDoublings));
+    return;
+  }
+  ReadFailures = 0;
+  config_head Head;
+  try {
+    if (Result.Status == object_status::Ok)
+      Head = parseConfigHead(Result.Value);
+  } catch (const findings_error &) {
+    // A damaged head is treated as one that shows nothing.
+    Head = {};
+  }
+  PlatformEmpty = Result.Status == object_status::NotFound;
+  if (Head.Version < InForce->Version)
+    ++Regressions;
+  load(Head, Result.Version, Watched);
+}
+
+void config_controller::load(const config_head &Head, object_version Object, bool Watched) {
+  HighestSeen = std::max(HighestSeen, Head.Version);
+  const auto Finish = [this, Object, Watched](bool Loaded) {
+    FirstReadDone = true;
+    if (!Loaded && !Watched)
+      ReadAgainAt = Store.now() + FirstReadRetry;
+    if (!Watched)
+      return;
+    // A version that couldn't be loaded must be reported by the watch again.
+    if (Loaded)
+      WatchKnown = Object;
+    WatchFailures = Loaded ? 0 : WatchFailures + 1;
+    watchAgain(WatchFailures);
+  };
+  if (Head.Version <= InForce->Version) {
+    Finish(true);
+    return;
+  }
+  config_loader::load(Store, Head,
+                      [this, Finish](std::shared_ptr<const configuration> Configuration) {
+                        const bool Loaded = Configuration != nullptr;
+                        adopt(std::move(Configuration));
+                        Finish(Loaded);
+                      });
+}
+
+void config_controller::setWatching(bool Watch) {
+  Watching = Watch;
+  if (Watching && !WatchOpen)
+    watch();
+}
+
+void config_controller::watch() {
+  WatchOpen = true;
+  Store.watch(HeadKey, WatchKnown, [this](const object_result &Result) {
+    if (Result.Status == object_status::Ok) {
+      handleHead(Result, true);
+      return;
+    }
+    // Unchanged is the usual end of a watch; anything else must not be repeated at once.
+    WatchFailures = Result.Status == object_status::Unchanged ? 0 : WatchFailures + 1;
+    watchAgain(WatchFailures);
+  });
+}
+
+void config_controller::watchAgain(std::uint32_t Attempt) {
+  if (!Watching) {
+    WatchOpen = false;
+    return;
+  }
+  if (Attempt == 0) {
+    watch();
+    return;
+  }
+  Store.retryLater(Attempt, [this] {
+    if (Watching)
+      watch();
+    else
+      WatchOpen = false;
+  });
+}
+
+void config_controller::submitPatch(const patch &Patch, patch_execution::done Done) {
+  Patches.push_back({Patch, std::move(Done)});
+  if (Running == nullptr)
+    startPatch();
+}
+
+void config_controller::startPatch() {
+  if (Running != nullptr || Patches.empty())
+    return;
+  queued_patch Next = std::move(Patches.front());
+  Patches.pop_front();
+  Running = std::make_unique<patch_execution>(
+      Store, std::move(Next.Patch), InForce,
+      [this](std::shared_ptr<const configuration> Configuration) {
+        adopt(std::move(Configuration));
+      },
+      std::move(Next.Done));
+  Running->start();
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/sync/config_controller.h
@@ -0,0 +1,102 @@
+#ifndef BRIARPOINT_CORE_SYNC_CONFIG_CONTROLLER_H
+#define BRIARPOINT_CORE_SYNC_CONFIG_CONTROLLER_H
+
+#include "core/sync/config_listener.h"
+#include "core/sync/config_settings.h"
+#include "core/sync/patch_execution.h"
+
+#include <deque>
+#include <map>
+
+namespace briarpoint {
+
+/// Configuration in force: follows peers and the platform, never to a lower version, and executes
+/// patches one after the other.
+class config_controller {
+public:
+  /// \p Store, \p Random and \p Listener must outlive the object.
+  config_controller(const config_settings &Settings, object_store &Store, random_source &Random,
+                    config_listener &Listener);
+
+  /// Reads the platform's version.
+  void start(instant Now);
+
+  /// Runs retries and time limits.
+  void tick(instant Now);
+
+  /// Whether this process is one of those that watch the platform.
+  void setWatching(bool Watch);
+
+  /// A peer has \p Version in force.
+  void handlePeerVersion(member_id From, const endpoint &Rpc, config_version Version);
+
+  /// Answers to config_listener::fetchFromPeer.
+  void handleConfiguration(member_id From, std::shared_ptr<const configuration> Configuration);
+  void handleFetchFailure(member_id From);
+
+  /// Executes a patch. \p Done is called once.
+  void submitPatch(const patch &Patch, patch_execution::done Done);
+
+  /// Never null.
+  std::shared_ptr<const configuration> inForce() const { return InForce; }
+
+  /// True if the version in force is the highest that peers and platform showed so far, and the
+  /// platform was asked. With nothing in force, the platform must have said that there is nothing.
+  bool isCurrent() const;
+
+  /// How often the platform showed a version below the one in force.
+  std::uint64_t platformRegressions() const { return Regressions; }
+
+private:
+  struct source {
+    endpoint Rpc;
+    config_version Version = 0;
+  };
+  struct queued_patch {
+    patch Patch;
+    patch_execution::done Done;
+  };
+
+  void adopt(std::shared_ptr<const configuration> Configuration);
+  void fetchNext();
+  void readPlatform();
+  void handleHead(const object_result &Result, bool Watched);
+  void load(const config_head &Head, object_version Object, bool Watched);
+  void watch();
+  void watchAgain(std::uint32_t Attempt);
+  void startPatch();
+
+  config_settings Settings;
+  config_listener &Listener;
+  store_client Store;
+  std::shared_ptr<const configuration> InForce = std::make_shared<const configuration>();
+  config_version HighestSeen = 0;
+
+  /// Peers that showed a version above the one in force.
+  std::map<member_id, source> Sources;
+  member_id FetchingFrom = NoMember;
+  instant FetchDeadline = Never;
+  std::uint32_t FetchFailures = 0;
+
+  /// State of reads of the platform.
+  bool Reading = false;
+  bool FirstReadDone = false;
+  bool PlatformEmpty = false;
+  instant FirstReadDeadline = Never;
+  instant ReadAgainAt = Never;
+  std::uint32_t ReadFailures = 0;
+  std::uint64_t Regressions = 0;
+
+  /// State of the watch.
+  bool Watching = false;
+  bool WatchOpen = false;
+  object_version WatchKnown = 0;
+  std::uint32_t WatchFailures = 0;
+
+  std::deque<queued_patch> Patches;
+  std::unique_ptr<patch_execution> Running;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_SYNC_CONFIG_CONTROLLER_H
