--- a/src/config/config_decoder.cpp
+++ b/src/config/config_decoder.cpp
@@ -131,11 +131,20 @@
   return Configuration;
 }
 
-patch decodePatch(const document_value &Document, finding_collector &Findings) {
+patch decodePatch(const document_value &Document, finding_collector &Findings,
+                  const patch_header &Header) {
   field_reader Reader(Document, "", Findings);
   patch Patch;
-  Reader.required("id", name_text{Patch.Id});
-  Reader.required("base", bounded{Patch.Base});
+  if (!Header.Id && !Header.DefaultId)
+    Reader.required("id", name_text{Patch.Id});
+  else if (!Reader.optional("id", name_text{Patch.Id}) || Header.Id)
+    Patch.Id = Header.Id ? *Header.Id : *Header.DefaultId;
+  if (Header.Base) {
+    Reader.optional("base", bounded{Patch.Base});
+    Patch.Base = *Header.Base;
+  } else {
+    Reader.required("base", bounded{Patch.Base});
+  }
   Reader.requiredElements("operations",
                           [&](const document_value &Value, const std::string &Element) {
                             Patch.Operations.push_back(decodeOperation(Value, Element, Findings));
--- a/src/config/config_decoder.h
+++ b/src/config/config_decoder.h
@@ -3,6 +3,7 @@
 
 #include "config/finding_collector.h"
 #include "config/patch.h"
+#include "config/patch_header.h"
 
 namespace briarpoint {
 
@@ -13,7 +14,8 @@
                              finding_collector &Findings);
 target_config decodeTarget(const document_value &Document, const std::string &Path,
                            finding_collector &Findings);
-patch decodePatch(const document_value &Document, finding_collector &Findings);
+patch decodePatch(const document_value &Document, finding_collector &Findings,
+                  const patch_header &Header = {});
 
 } // namespace briarpoint
 
