Add the data plane with in-band replication

The interfaces of the core existed without an implementation. This adds packet parsing and building, Geneve, the hand-over codec, the flow table, the filter chain, replies, replication along the owners, lookups, background transfer and target selection.

Shared headers: handover::Remaining has 7 places (hop_list) instead of 4, because a lookup visits up to three other owners and four earlier ones; data_plane takes an optional admission_factory; data_plane_settings has SetupRetries and MaxSetups.

A SYN-ACK and a first UDP reply traverse the owners too, so a caller is never established before the owners know it.

--- a/src/core/data/data_plane.h
+++ b/src/core/data/data_plane.h
@@ -5,6 +5,7 @@
 #include "core/data/data_plane_counters.h"
 #include "core/data/data_plane_listener.h"
 #include "core/data/data_plane_settings.h"
+#include "core/filter/admission_factory.h"
 #include "core/view/forwarding_view.h"
 
 #include <memory>
@@ -16,9 +17,10 @@
 /// it.
 class data_plane {
 public:
-  /// \p Random and \p Listener must outlive the object.
+  /// \p Random and \p Listener must outlive the object. Without \p Admission every setup is
+  /// admitted.
   data_plane(member_id Self, const data_plane_settings &Settings, random_source &Random,
-             data_plane_listener &Listener);
+             data_plane_listener &Listener, admission_factory Admission = {});
   ~data_plane();
   data_plane(const data_plane &) = delete;
   data_plane &operator=(const data_plane &) = delete;
--- a/src/core/data/data_plane_settings.h
+++ b/src/core/data/data_plane_settings.h
@@ -19,6 +19,10 @@
   duration CloseHold = std::chrono::seconds(60);
   /// How long a setup may wait for the target's first reply.
   duration SetupTimeout = std::chrono::seconds(3);
+  /// Other targets that a refused setup is sent to before the caller is told; at most 3.
+  std::uint32_t SetupRetries = 2;
+  /// Setups that wait for the target's first reply at most; further ones aren't retried.
+  std::size_t MaxSetups = 16384;
   duration TcpRefresh = std::chrono::minutes(10);
   duration UdpRefresh = std::chrono::seconds(60);
   /// How long earlier owners of a slot are asked after a change.
--- /dev/null
+++ b/src/core/data/flow_store.h
@@ -0,0 +1,89 @@
+#ifndef BRIARPOINT_CORE_DATA_FLOW_STORE_H
+#define BRIARPOINT_CORE_DATA_FLOW_STORE_H
+
+#include "core/data/data_plane_settings.h"
+#include "core/data/record_merge.h"
+#include "core/data/slot_directory.h"
+#include "core/data/target_directory.h"
+#include "core/flow/flow_table.h"
+
+namespace briarpoint {
+
+/// What a new flow is made from.
+struct new_flow {
+  flow_id Id;
+  service_id Service{};
+  std::uint32_t Target = NoIndex;
+  std::uint32_t InitialSequence = 0;
+  transport Protocol = transport::Tcp;
+};
+
+/// The flow table together with the deadlines of its entries and the count of open flows of each
+/// target.
+class flow_store {
+public:
+  /// The references must outlive the object.
+  flow_store(const data_plane_settings &Settings, target_directory &Targets,
+             const slot_directory &Slots);
+
+  /// Returns null if the flow is unknown or expired.
+  flow_entry *find(const flow_id &Id, instant Now) {
+    flow_entry *Entry = Table.find(Id);
+    if (Entry == nullptr || Now < Entry->Expires)
+      return Entry;
+    erase(*Entry);
+    return nullptr;
+  }
+
+  /// Adds a flow in phase Opening, or turns \p Reused into it. Returns null if the table is full.
+  flow_entry *open(const new_flow &Flow, flow_entry *Reused, instant Now);
+
+  void setTarget(flow_entry &Entry, std::uint32_t Target);
+  void setPhase(flow_entry &Entry, flow_phase Phase, instant Now);
+  void erase(flow_entry &Entry);
+
+  /// Sets the expiry for a flow that was used now.
+  void touch(flow_entry &Entry, instant Now) const { Entry.Expires = Now + hold(Entry); }
+
+  /// Sets the time of the next refresh in band.
+  void scheduleRefresh(flow_entry &Entry, instant Now) const;
+
+  flow_record toRecord(const flow_entry &Entry, instant Now) const;
+
+  /// Stores \p Record over \p Held, or as a new entry if \p Held is null. Returns null if the table
+  /// is full.
+  flow_entry *put(const flow_record &Record, flow_entry *Held, instant Now);
+
+  /// Stores a record that came as control traffic. Returns false if the table is full.
+  bool merge(const flow_record &Record, instant Now);
+
+  /// Recomputes which entries this balancer is first owner of.
+  void recount();
+
+  /// Erases expired entries among the next part of the table, such that the whole table is visited
+  /// every few seconds.
+  void sweep(instant Now, const forwarding_view &View);
+
+  void clear();
+
+  flow_table &table() { return Table; }
+  const flow_table &table() const { return Table; }
+  std::uint64_t ownedRecords() const { return Owned; }
+
+private:
+  duration hold(const flow_entry &Entry) const;
+  void updateCounted(flow_entry &Entry);
+  bool isAbandoned(const flow_entry &Entry, instant Now, const forwarding_view &View) const;
+
+  const data_plane_settings &Settings;
+  target_directory &Targets;
+  const slot_directory &Slots;
+  flow_table Table;
+  std::uint64_t Owned = 0;
+  std::uint32_t SweepNext = 0;
+  instant LastSweep = instant::min();
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_DATA_FLOW_STORE_H
--- a/src/core/data/handover.h
+++ b/src/core/data/handover.h
@@ -26,6 +26,9 @@
 /// Where a replicated packet goes after the last owner.
 enum class packet_direction : std::uint8_t { ToTarget = 0, ToCaller = 1 };
 
+/// Members that a packet still has to visit: three other owners and four earlier ones.
+using hop_list = std::array<member_id, 7>;
+
 /// Header of a packet that one balancer passes to another. Fixed layout in network byte order; see
 /// writeHandover.
 struct handover {
@@ -39,8 +42,8 @@
   member_id Origin{};
   /// Replicate: the record.
   flow_record Record;
-  /// Replicate and Lookup: members still to visit, in order; NoMember in unused places.
-  owner_list Remaining{};
+  /// Replicate, Lookup and Answer: members still to visit, in order; NoMember in unused places.
+  hop_list Remaining{};
 
   auto operator<=>(const handover &) const = default;
 };
--- /dev/null
+++ b/src/core/data/packet_output.cpp
@@ -0,0 +1,31 @@
+#include "core/data/packet_output.h"
+
+#include <algorithm>
+
+namespace briarpoint {
+
+void packet_output::sendToMember(std::uint32_t Index, handover Handover,
+                                 std::span<const std::byte> Packet) {
+  if (Handover.Hops >= MaxHandovers) {
+    drop(drop_reason::TooManyHops);
+    return;
+  }
+  ++Handover.Hops;
+  ++Counters.Handovers;
+  Listener.sendToBalancer(View->members()[Index], Handover, Packet);
+}
+
+bool packet_output::passOn(handover Handover, std::span<const std::byte> Packet) {
+  while (Handover.Remaining[0] != NoMember) {
+    const member_view *Next = View->findMember(Handover.Remaining[0]);
+    std::shift_left(Handover.Remaining.begin(), Handover.Remaining.end(), 1);
+    Handover.Remaining.back() = NoMember;
+    if (Next == nullptr || Next->Suspected || Next->State == member_state::Dead)
+      continue;
+    sendToMember(static_cast<std::uint32_t>(Next - View->members().data()), Handover, Packet);
+    return true;
+  }
+  return false;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/data/reply_handler.cpp
@@ -0,0 +1,208 @@
+#include "core/data/reply_handler.h"
+
+namespace briarpoint {
+
+bool reply_handler::parse(std::span<const std::byte> Bytes, target_id Target, reply &Reply) {
+  Reply.Bytes = Bytes;
+  Reply.Target = Target;
+  if (parsePacket(Bytes, Reply.Packet) == parse_error::None) {
+    Reply.Key = Reply.Packet.replyKey();
+  } else {
+    icmp_error_view Error;
+    if (!parseIcmpError(Bytes, Error)) {
+      Output.drop(drop_reason::Malformed);
+      return false;
+    }
+    Reply.Unreachable = true;
+    Reply.Key = Error.Quoted;
+  }
+  return true;
+}
+
+void reply_handler::handleArrival(const target_view &Target, std::span<const std::byte> Bytes,
+                                  instant Now) {
+  reply Reply;
+  if (!parse(Bytes, Target.Id, Reply))
+    return;
+  const service_view *Service = Matcher.match(Reply.Key.Service, Reply.Key.Protocol).Service;
+  if (Service == nullptr || Service->Id != Target.Service) {
+    Output.drop(drop_reason::WrongService);
+    return;
+  }
+  // Only replies that change a decision take the extra hop to the flow's owner.
+  if (!Reply.Unreachable && Reply.Packet.isTcp() && !Reply.Packet.has(TcpSyn | TcpFin | TcpRst)) {
+    Output.sendToCaller(Bytes);
+    return;
+  }
+  Reply.Id = makeFlowId(Reply.Key, Settings.HashSeed);
+  const slot_state &Slot = Slots.slotOf(Reply.Id);
+  flow_entry *Entry = Slot.SelfFirst ? Store.find(Reply.Id, Now) : nullptr;
+  if (Entry != nullptr)
+    handleKnown(*Entry, Reply, Now);
+  else
+    handleUnknown(Reply, nullptr, Now);
+}
+
+void reply_handler::handleAnswer(const handover &Handover, std::span<const std::byte> Bytes,
+                                 instant Now) {
+  reply Reply;
+  if (!parse(Bytes, Handover.Target, Reply))
+    return;
+  Reply.Id = makeFlowId(Reply.Key, Settings.HashSeed);
+  if (flow_entry *Entry = Store.find(Reply.Id, Now))
+    handleKnown(*Entry, Reply, Now);
+  else
+    handleUnknown(Reply, &Handover, Now);
+}
+
+void reply_handler::handleUnknown(const reply &Reply, const handover *Via, instant Now) {
+  const slot_state &Slot = Slots.slotOf(Reply.Id);
+  if (Slot.FirstHop == NoIndex) {
+    Output.drop(drop_reason::NoOwner);
+    return;
+  }
+  handover Handover;
+  Handover.Kind = handover_kind::Answer;
+  Handover.Hops = Via == nullptr ? 0 : Via->Hops;
+  Handover.Target = Reply.Target;
+  if (Via != nullptr && Via->Origin != NoMember) {
+    // Another owner is looking for a holder of the record.
+    Handover.Origin = Via->Origin;
+    Handover.Remaining = Via->Remaining;
+  } else if (!Slot.SelfFirst) {
+    Output.sendToMember(Slot.FirstHop, Handover, Reply.Bytes);
+    return;
+  } else {
+    Handover.Origin = Output.view().members()[Slot.FirstHop].Id;
+    Handover.Remaining = Slots.holders(Slot, Output.view(), Now);
+  }
+  if (!Output.passOn(Handover, Reply.Bytes))
+    Output.drop(drop_reason::StaleReply);
+}
+
+void reply_handler::handleKnown(flow_entry &Entry, const reply &Reply, instant Now) {
+  if (Targets[Entry.Target].Id != Reply.Target) {
+    Output.drop(drop_reason::StaleReply);
+    return;
+  }
+  if (Reply.Unreachable)
+    handleRefusal(Entry, Reply, Now);
+  else if (Reply.Packet.isTcp())
+    handleTcp(Entry, Reply, Now);
+  else
+    handleUdp(Entry, Reply, Now);
+}
+
+void reply_handler::handleTcp(flow_entry &Entry, const reply &Reply, instant Now) {
+  const packet_view &Packet = Reply.Packet;
+  if (Packet.has(TcpRst)) {
+    // Only the RST that answers the SYN acknowledges exactly the SYN.
+    const bool Refuses = Entry.Phase == flow_phase::Opening && Packet.has(TcpAck) &&
+                         Packet.Acknowledgement == Entry.InitialSequence + 1;
+    if (Refuses) {
+      handleRefusal(Entry, Reply, Now);
+      return;
+    }
+  }
+  if (Packet.has(TcpRst | TcpFin)) {
+    releaseSetup(Entry);
+    if (Entry.Phase != flow_phase::Closed) {
+      ++Entry.Revision;
+      Store.setPhase(Entry, flow_phase::Closed, Now);
+    }
+  } else if (Entry.Phase == flow_phase::Opening) {
+    accept(Entry, Now);
+  }
+  // A repeated SYN-ACK or FIN is replicated again, because the first one may have been lost.
+  replicate(Entry, Reply, Now);
+}
+
+void reply_handler::handleUdp(flow_entry &Entry, const reply &Reply, instant Now) {
+  Targets[Entry.Target].AnswersDatagrams = true;
+  silence_detector::observeReply(Entry.Silence, Now, Targets[Entry.Target].Progress);
+  if (Entry.Phase == flow_phase::Opening) {
+    accept(Entry, Now);
+    replicate(Entry, Reply, Now);
+    return;
+  }
+  if (Entry.Phase == flow_phase::Established)
+    Store.touch(Entry, Now);
+  Output.sendToCaller(Reply.Bytes);
+}
+
+void reply_handler::accept(flow_entry &Entry, instant Now) {
+  target_state &Target = Targets[Entry.Target];
+  ++Target.Seen.Accepted;
+  Target.Progress = Now;
+  Selector.recordSuccess(Entry.Target);
+  Admission.recordOutcome(Entry.Service, false, Now);
+  releaseSetup(Entry);
+  ++Entry.Revision;
+  Store.setPhase(Entry, flow_phase::Established, Now);
+}
+
+void reply_handler::handleRefusal(flow_entry &Entry, const reply &Reply, instant Now) {
+  if (Entry.Phase != flow_phase::Opening) {
+    Output.sendToCaller(Reply.Bytes);
+    return;
+  }
+  ++Targets[Entry.Target].Seen.Refused;
+  Selector.recordFailure(Entry.Target, Now);
+  const service_view *Service = Matcher.match(Reply.Key.Service, Reply.Key.Protocol).Service;
+  if (Service != nullptr && retry(Entry, *Service, Now))
+    return;
+
+  // No other target: the caller is told.
+  Admission.recordOutcome(Entry.Service, true, Now);
+  releaseSetup(Entry);
+  ++Entry.Revision;
+  Store.setPhase(Entry, flow_phase::Closed, Now);
+  replicate(Entry, Reply, Now);
+}
+
+bool reply_handler::retry(flow_entry &Entry, const service_view &Service, instant Now) {
+  if (Entry.Setup == NoIndex)
+    return false;
+  const pending_setup &Setup = Setups[Entry.Setup];
+  if (Setup.packet().empty() || Setup.tried().size() > Settings.SetupRetries)
+    return false;
+  const std::uint32_t Target = Selector.choose(Service, Entry.Id, Setup.tried(), Now);
+  if (Target == NoIndex || !Setups.addTarget(Entry.Setup, Target, Now))
+    return false;
+  Store.setTarget(Entry, Target);
+  ++Entry.Revision;
+  ++Targets[Target].Seen.Setups;
+  Replicator.start(Entry, Setup.packet(), packet_direction::ToTarget, &Service, Now);
+  return true;
+}
+
+void reply_handler::releaseSetup(flow_entry &Entry) {
+  if (Entry.Setup != NoIndex)
+    Setups.release(Entry.Setup);
+  Entry.Setup = NoIndex;
+}
+
+void reply_handler::replicate(flow_entry &Entry, const reply &Reply, instant Now) {
+  Replicator.start(Entry, Reply.Bytes, packet_direction::ToCaller, nullptr, Now);
+}
+
+void reply_handler::expireSetups(instant Now) {
+  for (std::uint32_t Index = Setups.takeDue(Now); Index != NoIndex; Index = Setups.takeDue(Now)) {
+    flow_entry *Entry = Store.find(Setups[Index].Id, Now);
+    // The flow may have been closed or opened anew in the meantime.
+    if (Entry == nullptr || Entry->Setup != Index)
+      continue;
+    Entry->Setup = NoIndex;
+    if (Entry->Phase != flow_phase::Opening)
+      continue;
+    target_state &Target = Targets[Entry->Target];
+    // A service whose datagrams are never answered isn't failing.
+    if (Entry->Protocol == transport::Udp && !Target.AnswersDatagrams)
+      continue;
+    ++Target.Seen.TimedOut;
+    Selector.recordFailure(Entry->Target, Now);
+    Admission.recordOutcome(Entry->Service, true, Now);
+  }
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/data/setup_store.cpp
@@ -0,0 +1,65 @@
+#include "core/data/setup_store.h"
+
+#include <algorithm>
+
+namespace briarpoint {
+
+std::uint32_t setup_store::add(const flow_id &Id, std::uint32_t Target,
+                               std::span<const std::byte> Packet, instant Now) {
+  std::uint32_t Index = 0;
+  if (!Free.empty()) {
+    Index = Free.back();
+    Free.pop_back();
+  } else if (Setups.size() < MaxSetups) {
+    Index = static_cast<std::uint32_t>(Setups.size());
+    Setups.emplace_back();
+  } else {
+    return NoIndex;
+  }
+  pending_setup &Setup = Setups[Index];
+  Setup.Id = Id;
+  Setup.TargetCount = 0;
+  Setup.Size = 0;
+  if (Packet.size() <= Setup.Packet.size()) {
+    std::copy(Packet.begin(), Packet.end(), Setup.Packet.begin());
+    Setup.Size = static_cast<std::uint16_t>(Packet.size());
+  }
+  addTarget(Index, Target, Now);
+  return Index;
+}
+
+bool setup_store::addTarget(std::uint32_t Index, std::uint32_t Target, instant Now) {
+  pending_setup &Setup = Setups[Index];
+  if (Setup.TargetCount == pending_setup::MaxTargets)
+    return false;
+  Setup.Targets[Setup.TargetCount++] = Target;
+  // A new number invalidates the earlier deadline.
+  Setup.Number = NextNumber++;
+  Deadlines.push_back({Now + Timeout, Index, Setup.Number});
+  return true;
+}
+
+void setup_store::release(std::uint32_t Index) {
+  Setups[Index].Number = 0;
+  Free.push_back(Index);
+}
+
+std::uint32_t setup_store::takeDue(instant Now) {
+  while (!Deadlines.empty() && Deadlines.front().At <= Now) {
+    const deadline Due = Deadlines.front();
+    Deadlines.pop_front();
+    if (Setups[Due.Index].Number == Due.Number) {
+      release(Due.Index);
+      return Due.Index;
+    }
+  }
+  return NoIndex;
+}
+
+void setup_store::clear() {
+  Setups.clear();
+  Free.clear();
+  Deadlines.clear();
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/data/setup_store.h
@@ -0,0 +1,73 @@
+#ifndef BRIARPOINT_CORE_DATA_SETUP_STORE_H
+#define BRIARPOINT_CORE_DATA_SETUP_STORE_H
+
+#include "core/flow/flow_entry.h"
+
+#include <array>
+#include <deque>
+#include <span>
+#include <vector>
+
+namespace briarpoint {
+
+/// First packet of a flow, kept until the target replies, so that another target can be tried.
+struct pending_setup {
+  /// Targets that a setup is sent to at most.
+  static constexpr std::size_t MaxTargets = 4;
+  /// A SYN has at most 100 bytes (IPv6, 40 bytes of TCP options).
+  static constexpr std::size_t MaxPacketSize = 128;
+
+  flow_id Id;
+  /// Each use of a place has another number.
+  std::uint64_t Number = 0;
+  std::array<std::uint32_t, MaxTargets> Targets{};
+  std::uint8_t TargetCount = 0;
+  std::uint16_t Size = 0;
+  std::array<std::byte, MaxPacketSize> Packet{};
+
+  std::span<const std::uint32_t> tried() const { return {Targets.data(), TargetCount}; }
+  /// Empty if the packet was too large to keep.
+  std::span<const std::byte> packet() const { return {Packet.data(), Size}; }
+};
+
+/// Bounded store of setups that wait for the target's first reply, in order of their deadlines.
+class setup_store {
+public:
+  setup_store(std::size_t MaxSetups, duration Timeout) : MaxSetups(MaxSetups), Timeout(Timeout) {}
+
+  /// Returns the index of the new setup, or NoIndex if the store is full.
+  std::uint32_t add(const flow_id &Id, std::uint32_t Target, std::span<const std::byte> Packet,
+                    instant Now);
+
+  pending_setup &operator[](std::uint32_t Index) { return Setups[Index]; }
+
+  /// Notes that the setup is sent to another target, and starts its deadline anew. Returns false
+  /// if it was sent to MaxTargets already.
+  bool addTarget(std::uint32_t Index, std::uint32_t Target, instant Now);
+
+  void release(std::uint32_t Index);
+
+  /// Removes and returns the index of a setup whose deadline has passed, or NoIndex. The content is
+  /// valid until the next add.
+  std::uint32_t takeDue(instant Now);
+
+  void clear();
+
+private:
+  struct deadline {
+    instant At{};
+    std::uint32_t Index = 0;
+    std::uint64_t Number = 0;
+  };
+
+  std::size_t MaxSetups;
+  duration Timeout;
+  std::uint64_t NextNumber = 1;
+  std::vector<pending_setup> Setups;
+  std::vector<std::uint32_t> Free;
+  std::deque<deadline> Deadlines;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_DATA_SETUP_STORE_H
--- /dev/null
+++ b/src/core/data/slot_directory.h
@@ -0,0 +1,84 @@
+#ifndef BRIARPOINT_CORE_DATA_SLOT_DIRECTORY_H
+#define BRIARPOINT_CORE_DATA_SLOT_DIRECTORY_H
+
+#include "core/data/handover.h"
+#include "core/flow/flow_entry.h"
+#include "core/view/forwarding_view.h"
+
+#include <memory>
+
+namespace briarpoint {
+
+/// What a balancer knows of an ownership slot.
+struct slot_state {
+  owner_list Owners{};
+  /// Members that will own the slot when they are ready.
+  owner_list Joining{};
+  /// Former owners, most recent first. They are asked until ConvergedAt.
+  owner_list Earlier{};
+  instant ConvergedAt = instant::min();
+  /// Time of the last change of Owners.
+  instant ChangedAt = instant::min();
+  /// Raised when a member is added to Owners or Joining.
+  std::uint32_t Epoch = 0;
+  /// Index into the view's members of the first owner that isn't suspected; of the first known
+  /// owner if all are suspected; NoIndex if there is none.
+  std::uint32_t FirstHop = NoIndex;
+  /// Whether this balancer is that first owner.
+  bool SelfFirst = false;
+  /// Whether this balancer owns the slot or will own it.
+  bool SelfOwner = false;
+  /// Whether an owner is suspected.
+  bool Suspected = false;
+};
+
+/// Owners of each ownership slot, now and before. Kept up to date from views.
+class slot_directory {
+public:
+  slot_directory(member_id Self, duration Convergence);
+
+  /// Takes the owners of \p View. Returns whether this balancer became or ceased to be first owner
+  /// of any slot.
+  bool applyView(const forwarding_view &View, instant Now);
+
+  const slot_state &slot(std::uint32_t Slot) const { return Slots[Slot]; }
+  const slot_state &slotOf(const flow_id &Id) const { return Slots[ownership_table::slotOf(Id)]; }
+
+  /// All slots count as changed now; used after the process forgot its records.
+  void restart(instant Now);
+
+  /// Number of views so far that changed owners or members.
+  std::uint64_t changes() const { return Changes; }
+
+  /// Other current owners and joining members, in order, without suspected ones: those that a
+  /// record is replicated to. \p Also is added if it is another member that isn't listed.
+  hop_list replicas(const slot_state &Slot, member_id Also, const forwarding_view &View) const;
+
+  /// Other members that may hold a record of the slot: owners, and earlier ones while views
+  /// converge.
+  hop_list holders(const slot_state &Slot, const forwarding_view &View, instant Now) const;
+
+  /// Whether a flow that none of the holders knows is unknown to the whole fabric.
+  static bool converged(const slot_state &Slot, const forwarding_view &View, instant Now) {
+    return View.allReachable() && !Slot.Suspected && Now >= Slot.ConvergedAt;
+  }
+
+private:
+  void changeOwners(slot_state &Slot, const owner_list &Owners, const owner_list &Next,
+                    instant Now) const;
+  bool chooseFirstHop(slot_state &Slot, const forwarding_view &View) const;
+  void addHop(hop_list &Hops, member_id Member, const forwarding_view &View) const;
+
+  member_id Self;
+  duration Convergence;
+  std::vector<slot_state> Slots;
+  std::uint64_t Changes = 0;
+  /// Members of the last view, to skip the work when only targets changed.
+  std::vector<member_view> Members;
+  ownership_table Owners;
+  ownership_table NextOwners;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_DATA_SLOT_DIRECTORY_H
--- /dev/null
+++ b/src/core/data/target_directory.h
@@ -0,0 +1,65 @@
+#ifndef BRIARPOINT_CORE_DATA_TARGET_DIRECTORY_H
+#define BRIARPOINT_CORE_DATA_TARGET_DIRECTORY_H
+
+#include "core/data/target_observation.h"
+#include "core/flow/flow_entry.h"
+#include "core/view/forwarding_view.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace briarpoint {
+
+/// What the data plane knows of a target besides the view.
+struct target_state {
+  target_id Id = NoTarget;
+  /// The target in the present view; null if it isn't configured.
+  const target_view *View = nullptr;
+  /// Open flows of which this balancer is first owner.
+  std::uint32_t OpenFlows = 0;
+  /// Entries of the flow table that refer to this state.
+  std::uint32_t Entries = 0;
+  /// Last time at which the target was seen to serve a flow.
+  instant Progress = instant::min();
+  /// Whether it ever answered a datagram.
+  bool AnswersDatagrams = false;
+  /// Setups that failed since the last one that was accepted.
+  std::uint32_t Failures = 0;
+  /// The target gets no new flows from this balancer before this time.
+  instant BackoffUntil = instant::min();
+  /// Observations since the last report.
+  target_observation Seen;
+};
+
+/// Targets by a small index that stays the same while a flow refers to it.
+class target_directory {
+public:
+  /// Points each state to its target in \p View, which must live until the next call.
+  void applyView(const forwarding_view &View);
+
+  /// Returns the index of a target; it may be one that isn't in the view.
+  std::uint32_t indexOf(target_id Id);
+
+  target_state &operator[](std::uint32_t Index) { return States[Index]; }
+  const target_state &operator[](std::uint32_t Index) const { return States[Index]; }
+
+  /// Returns the indices of the targets of a service of the present view.
+  const std::vector<std::uint32_t> &ofService(const service_view &Service) const {
+    return ByService[static_cast<std::size_t>(&Service - FirstService)];
+  }
+
+  std::vector<target_state> &all() { return States; }
+
+private:
+  void collectUnused();
+
+  std::vector<target_state> States;
+  std::vector<std::uint32_t> Free;
+  std::unordered_map<target_id, std::uint32_t> Index;
+  std::vector<std::vector<std::uint32_t>> ByService;
+  const service_view *FirstService = nullptr;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_DATA_TARGET_DIRECTORY_H
--- /dev/null
+++ b/src/core/data/target_selector.h
@@ -0,0 +1,59 @@
+#ifndef BRIARPOINT_CORE_DATA_TARGET_SELECTOR_H
+#define BRIARPOINT_CORE_DATA_TARGET_SELECTOR_H
+
+#include "base/random_source.h"
+#include "core/data/target_directory.h"
+
+#include <span>
+
+namespace briarpoint {
+
+/// Chooses targets for new flows by bounded-load rendezvous hashing, and keeps failing targets out
+/// for a while.
+class target_selector {
+public:
+  /// \p Targets and \p Random must outlive the object.
+  target_selector(target_directory &Targets, random_source &Random, double LoadEpsilon)
+      : Targets(Targets), Random(Random), LoadEpsilon(LoadEpsilon) {}
+
+  /// Returns the target for a new flow: the first in the flow's rendezvous order that takes new
+  /// flows, isn't in \p Tried and has fewer open flows than (1 + epsilon) times its weighted mean.
+  /// Returns NoIndex if no target takes new flows.
+  std::uint32_t choose(const service_view &Service, const flow_id &Id,
+                       std::span<const std::uint32_t> Tried, instant Now);
+
+  /// Returns the first target in the flow's rendezvous order that isn't dead, or NoIndex.
+  std::uint32_t defaultTarget(const service_view &Service, const flow_id &Id) const;
+
+  /// Whether a target is in the view and takes new flows.
+  bool acceptsNew(std::uint32_t Target) const;
+
+  /// A setup was refused or got no reply: no new flows for a random time (full jitter) whose bound
+  /// doubles with each failure in a row.
+  void recordFailure(std::uint32_t Target, instant Now);
+
+  void recordSuccess(std::uint32_t Target) {
+    Targets[Target].Failures = 0;
+    Targets[Target].BackoffUntil = instant::min();
+  }
+
+private:
+  struct candidate {
+    std::uint32_t Target = NoIndex;
+    std::uint64_t Score = 0;
+  };
+
+  void collectCandidates(const service_view &Service, const flow_id &Id,
+                         std::span<const std::uint32_t> Tried);
+  void removeFailing(std::size_t ServiceSize, instant Now);
+
+  target_directory &Targets;
+  random_source &Random;
+  double LoadEpsilon;
+  /// Kept between calls, so that its memory is reused.
+  std::vector<candidate> Candidates;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_DATA_TARGET_SELECTOR_H
--- /dev/null
+++ b/src/core/filter/admission_factory.h
@@ -0,0 +1,17 @@
+#ifndef BRIARPOINT_CORE_FILTER_ADMISSION_FACTORY_H
+#define BRIARPOINT_CORE_FILTER_ADMISSION_FACTORY_H
+
+#include "base/ids.h"
+#include "core/request/admission_policy.h"
+
+#include <functional>
+#include <memory>
+
+namespace briarpoint {
+
+/// Makes the admission policy of a service. A null policy admits everything.
+using admission_factory = std::function<std::unique_ptr<admission_policy>(service_id)>;
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_FILTER_ADMISSION_FACTORY_H
--- /dev/null
+++ b/src/core/filter/flow_lookup_filter.cpp
@@ -0,0 +1,136 @@
+#include "core/filter/flow_lookup_filter.h"
+
+namespace briarpoint {
+
+filter_result flow_lookup_filter::apply(packet_context &Context) {
+  Context.Id = makeFlowId(Context.Packet.forwardKey(), HashSeed);
+  Context.Slot = &Slots.slotOf(Context.Id);
+  if (Context.Via == nullptr && !Context.Slot->SelfFirst)
+    return handToFirstOwner(Context);
+  Context.Entry = Store.find(Context.Id, Context.Now);
+  return Context.Entry == nullptr ? applyUnknown(Context) : applyKnown(Context);
+}
+
+filter_result flow_lookup_filter::handToFirstOwner(const packet_context &Context) {
+  if (Context.Slot->FirstHop == NoIndex) {
+    Output.drop(drop_reason::NoOwner);
+    return filter_result::Done;
+  }
+  handover Handover;
+  Handover.Kind = handover_kind::ToOwner;
+  Handover.Hops = Context.Via == nullptr ? 0 : Context.Via->Hops;
+  Output.sendToMember(Context.Slot->FirstHop, Handover, Context.Packet.Bytes);
+  return filter_result::Done;
+}
+
+filter_result flow_lookup_filter::applyKnown(packet_context &Context) {
+  flow_entry &Entry = *Context.Entry;
+  if (Context.isVia(handover_kind::Lookup))
+    Context.Replicates = true;
+
+  if (!Context.Packet.isTcp()) {
+    // A datagram after the flow was ended, or whose target died, starts the flow anew.
+    const target_view *Target = Targets[Entry.Target].View;
+    Context.OpensFlow = Entry.Phase == flow_phase::Closed;
+    Context.ChangesTarget = !Context.OpensFlow && Target != nullptr && Target->Dead;
+    return filter_result::Continue;
+  }
+  if (Context.Packet.isSetup()) {
+    applyKnownSetup(Context);
+    return filter_result::Continue;
+  }
+  if (Context.Packet.has(TcpFin | TcpRst)) {
+    if (Entry.Phase != flow_phase::Closed) {
+      ++Entry.Revision;
+      Store.setPhase(Entry, flow_phase::Closed, Context.Now);
+    }
+    Context.Replicates = true;
+  } else if (Entry.Phase == flow_phase::Opening) {
+    // The caller goes on, so it saw the target's SYN-ACK, which another owner passed.
+    ++Entry.Revision;
+    Store.setPhase(Entry, flow_phase::Established, Context.Now);
+    Context.Replicates = true;
+  }
+  return filter_result::Continue;
+}
+
+void flow_lookup_filter::applyKnownSetup(packet_context &Context) {
+  const flow_entry &Entry = *Context.Entry;
+  const target_view *Target = Targets[Entry.Target].View;
+  const bool TargetDead = Target != nullptr && Target->Dead;
+  if (Context.Packet.Sequence == Entry.InitialSequence) {
+    // A retransmission, which may be needed because the first one was lost between the owners.
+    Context.ChangesTarget = TargetDead && Entry.Phase == flow_phase::Opening;
+    Context.Replicates = true;
+    return;
+  }
+  // On the 5-tuple of an open flow it may be a late duplicate, so the target has to answer it (RFC
+  // 9293, section 3.10.7.4); the record doesn't change.
+  Context.OpensFlow = Entry.Phase != flow_phase::Established || Target == nullptr || TargetDead;
+}
+
+filter_result flow_lookup_filter::applyUnknown(packet_context &Context) {
+  if (Context.isVia(handover_kind::Lookup))
+    return continueLookup(Context);
+  if (!Context.Slot->SelfFirst)
+    return handToFirstOwner(Context);
+  if (Context.Packet.isSetup()) {
+    Context.OpensFlow = true;
+    return filter_result::Continue;
+  }
+  if (Context.isVia(handover_kind::NotFound))
+    return applyUnknownEverywhere(Context);
+  const bool Converged = slot_directory::converged(*Context.Slot, Output.view(), Context.Now);
+  if (!Context.Packet.isTcp() && Converged) {
+    Context.OpensFlow = true;
+    return filter_result::Continue;
+  }
+  return startLookup(Context) ? filter_result::Done : applyUnknownEverywhere(Context);
+}
+
+filter_result flow_lookup_filter::continueLookup(const packet_context &Context) {
+  if (Output.passOn(*Context.Via, Context.Packet.Bytes))
+    return filter_result::Done;
+  const member_view *Origin = Output.view().findMember(Context.Via->Origin);
+  if (Origin == nullptr) {
+    Output.drop(drop_reason::UnknownFlow);
+    return filter_result::Done;
+  }
+  handover Handover;
+  Handover.Kind = handover_kind::NotFound;
+  Handover.Hops = Context.Via->Hops;
+  Handover.Origin = Context.Via->Origin;
+  Output.sendToMember(static_cast<std::uint32_t>(Origin - Output.view().members().data()), Handover,
+                      Context.Packet.Bytes);
+  return filter_result::Done;
+}
+
+bool flow_lookup_filter::startLookup(const packet_context &Context) {
+  handover Handover;
+  Handover.Kind = handover_kind::Lookup;
+  Handover.Hops = Context.Via == nullptr ? 0 : Context.Via->Hops;
+  Handover.Origin = Self;
+  Handover.Remaining = Slots.holders(*Context.Slot, Output.view(), Context.Now);
+  return Output.passOn(Handover, Context.Packet.Bytes);
+}
+
+filter_result flow_lookup_filter::applyUnknownEverywhere(packet_context &Context) {
+  if (!Context.Packet.isTcp()) {
+    Context.OpensFlow = true;
+    return filter_result::Continue;
+  }
+  if (!slot_directory::converged(*Context.Slot, Output.view(), Context.Now)) {
+    Output.drop(drop_reason::UnknownFlow);
+    return filter_result::Done;
+  }
+  // The default target's RST tells the caller the actual state.
+  const std::uint32_t Target = Selector.defaultTarget(*Context.Match.Service, Context.Id);
+  if (Target == NoIndex)
+    Output.drop(drop_reason::NoTarget);
+  else
+    Output.sendToTarget(Targets[Target].View, Context.Match.Service->Id, Context.Match.Service,
+                        Context.Packet.Bytes);
+  return filter_result::Done;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/core/filter/flow_lookup_filter.h
@@ -0,0 +1,43 @@
+#ifndef BRIARPOINT_CORE_FILTER_FLOW_LOOKUP_FILTER_H
+#define BRIARPOINT_CORE_FILTER_FLOW_LOOKUP_FILTER_H
+
+#include "core/data/flow_store.h"
+#include "core/data/packet_output.h"
+#include "core/data/target_selector.h"
+#include "core/filter/packet_filter.h"
+
+namespace briarpoint {
+
+/// Finds the flow of a packet here, or hands the packet to the balancer that is to know it.
+class flow_lookup_filter final : public packet_filter {
+public:
+  /// The references must outlive the object.
+  flow_lookup_filter(member_id Self, std::uint64_t HashSeed, flow_store &Store,
+                     const slot_directory &Slots, target_directory &Targets,
+                     const target_selector &Selector, packet_output &Output)
+      : Self(Self), HashSeed(HashSeed), Store(Store), Slots(Slots), Targets(Targets),
+        Selector(Selector), Output(Output) {}
+
+  filter_result apply(packet_context &Context) override;
+
+private:
+  filter_result handToFirstOwner(const packet_context &Context);
+  filter_result applyKnown(packet_context &Context);
+  void applyKnownSetup(packet_context &Context);
+  filter_result applyUnknown(packet_context &Context);
+  filter_result continueLookup(const packet_context &Context);
+  bool startLookup(const packet_context &Context);
+  filter_result applyUnknownEverywhere(packet_context &Context);
+
+  member_id Self;
+  std::uint64_t HashSeed;
+  flow_store &Store;
+  const slot_directory &Slots;
+  target_directory &Targets;
+  const target_selector &Selector;
+  packet_output &Output;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_FILTER_FLOW_LOOKUP_FILTER_H
--- /dev/null
+++ b/src/core/flow/flow_table.h
@@ -0,0 +1,73 @@
+#ifndef BRIARPOINT_CORE_FLOW_FLOW_TABLE_H
+#define BRIARPOINT_CORE_FLOW_FLOW_TABLE_H
+
+#include "core/flow/flow_entry.h"
+
+#include <memory>
+#include <vector>
+
+namespace briarpoint {
+
+/// Bounded hash table of flows. Entries don't move and have small indices, so that the table can be
+/// walked in steps. The index is an open-addressing table with linear probing; a lookup usually
+/// touches one cache line of the index and the entry. Lookups never allocate.
+class flow_table {
+public:
+  /// Holds at most \p MaxFlows entries; memory is taken as it fills.
+  explicit flow_table(std::size_t MaxFlows);
+
+  /// Returns null if there is no such flow.
+  flow_entry *find(const flow_id &Id);
+
+  /// Adds a flow that isn't in the table yet. Returns null if the table is full.
+  flow_entry *insert(const flow_id &Id);
+
+  /// Removes an entry of this table.
+  void erase(flow_entry &Entry);
+
+  void clear();
+
+  std::size_t size() const { return Size; }
+
+  /// Indices below this one may be in use. It never decreases, except by clear().
+  std::uint32_t indexEnd() const { return EntryEnd; }
+
+  /// Returns the entry with this index, or null if it is free.
+  flow_entry *at(std::uint32_t Index) {
+    flow_entry &Entry = entry(Index);
+    return Entry.Used ? &Entry : nullptr;
+  }
+  const flow_entry *at(std::uint32_t Index) const {
+    return const_cast<flow_table *>(this)->at(Index);
+  }
+
+private:
+  static constexpr std::uint32_t ChunkBits = 10;
+  static constexpr std::uint32_t ChunkSize = 1U << ChunkBits;
+
+  /// One place of the index: the low half of the id's low word and the entry's index.
+  struct place {
+    std::uint32_t Tag = 0;
+    std::uint32_t Entry = NoIndex;
+  };
+
+  flow_entry &entry(std::uint32_t Index) {
+    return Chunks[Index >> ChunkBits][Index & (ChunkSize - 1)];
+  }
+  static std::uint32_t tagOf(const flow_id &Id) { return static_cast<std::uint32_t>(Id.Low); }
+  std::size_t findPlace(const flow_id &Id);
+  void grow();
+  std::uint32_t takeEntry();
+
+  std::size_t MaxFlows;
+  std::size_t Size = 0;
+  std::size_t Mask = 0;
+  std::vector<place> Places;
+  std::vector<std::unique_ptr<flow_entry[]>> Chunks;
+  std::uint32_t EntryEnd = 0;
+  std::vector<std::uint32_t> Free;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_CORE_FLOW_FLOW_TABLE_H
--- /dev/null
+++ b/src/core/flow/silence_detector.cpp
@@ -0,0 +1,65 @@
+#include "core/flow/silence_detector.h"
+
+#include <limits>
+
+namespace briarpoint {
+
+namespace {
+
+/// Segments within this time of each other are one burst; below the shortest retransmission
+/// timeout in common use (200 ms).
+constexpr duration BurstSpan = std::chrono::milliseconds(150);
+
+} // namespace
+
+bool silence_detector::observe(silence_state &State, const packet_view &Packet, instant Now,
+                               instant &TargetProgress) const {
+  if (Packet.isTcp())
+    return observeTcp(State, Packet, Now, TargetProgress);
+  return count(State, Now, TargetProgress);
+}
+
+bool silence_detector::observeTcp(silence_state &State, const packet_view &Packet, instant Now,
+                                  instant &TargetProgress) const {
+  // Progress: the caller acknowledges bytes that it hadn't acknowledged before. The comparison is
+  // modulo 2^32; an older number comes from a reordered packet.
+  if (Packet.has(TcpAck)) {
+    const auto Step = static_cast<std::int32_t>(Packet.Acknowledgement - State.Acknowledgement);
+    if (!State.AcknowledgementSeen || Step > 0) {
+      // The first number may repeat one that an earlier owner saw; it isn't progress for sure.
+      if (State.AcknowledgementSeen)
+        TargetProgress = Now;
+      State.AcknowledgementSeen = true;
+      State.Acknowledgement = Packet.Acknowledgement;
+      State.Repeats = 0;
+    }
+  }
+
+  // A keepalive probe has no payload or 1 byte and never counts.
+  if (Packet.PayloadSize < 2)
+    return false;
+  if (State.Repeats != 0) {
+    const auto Step = static_cast<std::int32_t>(Packet.Sequence - State.Sequence);
+    if (Step == 0)
+      return count(State, Now, TargetProgress);
+    // A caller repeats the first segment of a burst that wasn't acknowledged, so the later ones of
+    // the burst don't replace it. Data beyond it at another time means that it was acknowledged.
+    if (Step > 0 && State.Repeats == 1 && Now - State.Since < BurstSpan)
+      return false;
+  }
+  State.Sequence = Packet.Sequence;
+  State.Repeats = 1;
+  State.Since = Now;
+  return false;
+}
+
+bool silence_detector::count(silence_state &State, instant Now, instant TargetProgress) const {
+  if (State.Repeats == 0)
+    State.Since = Now;
+  if (State.Repeats < std::numeric_limits<std::uint16_t>::max())
+    ++State.Repeats;
+  // This flow made no progress since then, so the target served another one.
+  return State.Repeats >= Repeats && Now - State.Since >= Span && TargetProgress > State.Since;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/net/byte_order.h
@@ -0,0 +1,48 @@
+#ifndef BRIARPOINT_NET_BYTE_ORDER_H
+#define BRIARPOINT_NET_BYTE_ORDER_H
+
+#include <bit>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+
+namespace briarpoint {
+
+static_assert(std::endian::native == std::endian::little, "loads and stores swap bytes");
+
+/// Loads of integers in network byte order. The caller checks the size.
+inline std::uint8_t loadU8(const std::byte *From) { return std::to_integer<std::uint8_t>(*From); }
+inline std::uint16_t loadU16(const std::byte *From) {
+  std::uint16_t Value = 0;
+  std::memcpy(&Value, From, sizeof(Value));
+  return __builtin_bswap16(Value);
+}
+inline std::uint32_t loadU32(const std::byte *From) {
+  std::uint32_t Value = 0;
+  std::memcpy(&Value, From, sizeof(Value));
+  return __builtin_bswap32(Value);
+}
+inline std::uint64_t loadU64(const std::byte *From) {
+  std::uint64_t Value = 0;
+  std::memcpy(&Value, From, sizeof(Value));
+  return __builtin_bswap64(Value);
+}
+
+/// Stores of integers in network byte order. The caller checks the size.
+inline void storeU8(std::byte *To, std::uint8_t Value) { *To = std::byte{Value}; }
+inline void storeU16(std::byte *To, std::uint16_t Value) {
+  Value = __builtin_bswap16(Value);
+  std::memcpy(To, &Value, sizeof(Value));
+}
+inline void storeU32(std::byte *To, std::uint32_t Value) {
+  Value = __builtin_bswap32(Value);
+  std::memcpy(To, &Value, sizeof(Value));
+}
+inline void storeU64(std::byte *To, std::uint64_t Value) {
+  Value = __builtin_bswap64(Value);
+  std::memcpy(To, &Value, sizeof(Value));
+}
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_NET_BYTE_ORDER_H
--- /dev/null
+++ b/tests/data/exchange_support.h
@@ -0,0 +1,118 @@
+#ifndef BRIARPOINT_TESTS_DATA_EXCHANGE_SUPPORT_H
+#define BRIARPOINT_TESTS_DATA_EXCHANGE_SUPPORT_H
+
+#include "base/seeded_random.h"
+#include "core/data/data_plane.h"
+#include "net/packet_builder.h"
+
+#include <deque>
+#include <map>
+
+namespace briarpoint::testing {
+
+using bytes = std::vector<std::byte>;
+
+/// Packet that reached a target.
+struct target_packet {
+  target_id Target{};
+  service_id Service{};
+  bytes Packet;
+};
+
+/// Probabilities (0 to 1) that a message between balancers is lost, duplicated or delayed. Delayed
+/// messages overtake each other.
+struct message_faults {
+  double Loss = 0;
+  double Duplication = 0;
+  double Delay = 0;
+};
+
+/// Several data planes of one fabric, joined by an in-memory message exchange with a fake clock.
+class exchange {
+public:
+  /// A service with TCP and UDP port 80 for each entry of \p TargetCounts.
+  explicit exchange(std::size_t BalancerCount, std::vector<std::size_t> TargetCounts = {3, 2},
+                    std::uint64_t Seed = 1, data_plane_settings Settings = {});
+  ~exchange();
+  exchange(const exchange &) = delete;
+  exchange &operator=(const exchange &) = delete;
+
+  static member_id memberId(std::size_t Index);
+  static endpoint serviceAddress(std::size_t Service);
+  static endpoint callerAddress(std::uint16_t Caller);
+  target_id targetId(std::size_t Service, std::size_t Index) const;
+
+  /// What the next view is made from; tests change it and call publish.
+  std::vector<member_view> Members;
+  std::vector<target_view> Targets;
+  std::vector<service_view> Services;
+  bool AllReachable = true;
+  message_faults Faults;
+
+  /// Gives a view of the present content to one balancer, or to all live ones.
+  std::shared_ptr<const forwarding_view> makeView() const;
+  void publishTo(std::size_t Index);
+  void publish();
+
+  /// Starts a balancer process anew, in state Joining, with an empty flow table.
+  void restart(std::size_t Index);
+  /// Stops a process at once. It stays a member until a test changes Members.
+  void kill(std::size_t Index);
+  bool isLive(std::size_t Index) const { return Nodes[Index] != nullptr; }
+
+  /// The fabric delivers a packet to a balancer; then all messages are delivered.
+  void forward(std::size_t Index, const bytes &Packet);
+  void reply(std::size_t Index, target_id Target, const bytes &Packet);
+  /// Same without delivering messages.
+  void inject(std::size_t Index, const bytes &Packet);
+  void settle();
+
+  /// Moves the clock in steps of 100 ms, with ticks and deliveries.
+  void advance(duration Time);
+
+  data_plane &plane(std::size_t Index);
+  /// Index of the first owner of a flow in the view of the first live balancer.
+  std::size_t firstOwner(const flow_key &Key) const;
+  std::size_t ownerAt(const flow_key &Key, std::size_t Place) const;
+  std::uint64_t dropped(drop_reason Reason) const;
+  const flow_record *recordAt(std::size_t Index, const flow_key &Key);
+
+  instant Now = instant(std::chrono::hours(1));
+  std::vector<target_packet> AtTargets;
+  std::vector<bytes> AtCaller;
+  std::vector<target_observation> Observations;
+  /// Pairs of sender and receiver of finished transfers.
+  std::vector<std::pair<member_id, member_id>> Finished;
+  std::size_t RecordsSent = 0;
+  data_plane_settings Settings;
+  admission_factory Admission;
+  seeded_random Random;
+
+private:
+  struct node;
+  struct message {
+    member_id To{};
+    std::optional<handover> Handover;
+    std::vector<flow_record> Records;
+    bytes Packet;
+  };
+
+  void post(message Message);
+  void deliver(const message &Message);
+
+  std::vector<std::unique_ptr<node>> Nodes;
+  std::deque<message> Messages;
+  std::vector<message> Delayed;
+  std::vector<flow_record> Scratch;
+};
+
+/// TCP segment or UDP datagram from a caller to a service.
+bytes segment(const endpoint &Caller, const endpoint &Service, std::uint8_t Flags,
+              std::uint32_t Sequence, std::uint32_t Acknowledgement = 0, std::size_t Payload = 0);
+bytes datagram(const endpoint &From, const endpoint &To, std::size_t Payload = 10);
+
+packet_view parsed(const bytes &Packet);
+
+} // namespace briarpoint::testing
+
+#endif // BRIARPOINT_TESTS_DATA_EXCHANGE_SUPPORT_H
