--- /dev/null
+++ b/src/daemon/log_event.cpp
@@ -0,0 +1,76 @@
+#include "daemon/log_event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace briarpoint {
+
+namespace {
+
+constexpr log_level Info = log_level::Info;
+constexpr log_level Warning = log_level::Warning;
+constexpr log_level Error = log_level::Error;
+
+constexpr std::array Catalogue{
+    log_definition{log_event::ProcessStarted, "process_started", Info, "daemon started"},
+    log_definition{log_event::StopBegan, "stop_began", Info, "graceful stop began"},
+    log_definition{log_event::ProcessEnded, "process_ended", Info, "daemon ended"},
+    log_definition{log_event::StopDeadlinePassed, "stop_deadline_passed", Warning,
+                   "graceful stop was cut short by its deadline"},
+    log_definition{log_event::SettingsRejected, "settings_rejected", Error, "settings are invalid"},
+    log_definition{log_event::SettingsReloaded, "settings_reloaded", Info, "settings read again"},
+    log_definition{log_event::StartFailed, "start_failed", Error, "daemon could not start"},
+    log_definition{log_event::BalancerReady, "balancer_ready", Info,
+                   "balancer owns its share of the flows"},
+    log_definition{log_event::MemberChanged, "member_changed", Info, "member changed its state"},
+    log_definition{log_event::ProcessPaused, "process_paused", Warning,
+                   "process was paused; flow records were dropped"},
+    log_definition{log_event::ConfigurationApplied, "configuration_applied", Info,
+                   "configuration is in force"},
+    log_definition{log_event::ConfigurationFetchFailed, "configuration_fetch_failed", Warning,
+                   "configuration could not be fetched from a balancer"},
+    log_definition{log_event::PatchFinished, "patch_finished", Info, "patch was executed"},
+    log_definition{log_event::PeerMessageMalformed, "peer_message_malformed", Warning,
+                   "authenticated peer message is malformed"},
+    log_definition{log_event::PeerMessageRefused, "peer_message_refused", Warning,
+                   "peer message failed authentication"},
+    log_definition{log_event::PeerMessageNotSent, "peer_message_not_sent", Warning,
+                   "peer message could not be sent"},
+    log_definition{log_event::RpcRequestRefused, "rpc_request_refused", Warning,
+                   "configuration request failed authentication"},
+    log_definition{log_event::PacketsRefused, "packets_refused", Warning,
+                   "packets were refused before they reached the data plane"},
+    log_definition{log_event::MailboxFull, "mailbox_full", Warning,
+                   "a task does not keep up with its messages"},
+    log_definition{log_event::ProbeAnswerMalformed, "probe_answer_malformed", Warning,
+                   "health response of a target is malformed"},
+    log_definition{log_event::TargetChanged, "target_changed", Info,
+                   "target changed its availability for new flows"},
+    log_definition{log_event::OperatorRequestRefused, "operator_request_refused", Warning,
+                   "operator request was refused"},
+    log_definition{log_event::OperatorWrite, "operator_write", Info,
+                   "operator request that changes state"},
+};
+
+} // namespace
+
+std::span<const log_definition> logCatalogue() { return Catalogue; }
+
+const log_definition &definitionOf(log_event Event) {
+  return *std::find_if(Catalogue.begin(), Catalogue.end(),
+                       [Event](const log_definition &Entry) { return Entry.Event == Event; });
+}
+
+std::string_view toString(log_level Level) {
+  switch (Level) {
+  case log_level::Info:
+    return "info";
+  case log_level::Warning:
+    return "warning";
+  case log_level::Error:
+    break;
+  }
+  return "error";
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/daemon/log_event.h
@@ -0,0 +1,59 @@
+#ifndef BRIARPOINT_DAEMON_LOG_EVENT_H
+#define BRIARPOINT_DAEMON_LOG_EVENT_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace briarpoint {
+
+/// Everything that the daemon logs. The values are the numbers in docs/LOG_EVENTS.md; a number is
+/// never used again for another event.
+enum class log_event : std::uint16_t {
+  ProcessStarted = 1001,
+  StopBegan = 1002,
+  ProcessEnded = 1003,
+  StopDeadlinePassed = 1004,
+  SettingsRejected = 1005,
+  SettingsReloaded = 1006,
+  StartFailed = 1007,
+  BalancerReady = 1101,
+  MemberChanged = 1102,
+  ProcessPaused = 1103,
+  ConfigurationApplied = 1201,
+  ConfigurationFetchFailed = 1202,
+  PatchFinished = 1203,
+  PeerMessageMalformed = 1301,
+  PeerMessageRefused = 1302,
+  PeerMessageNotSent = 1303,
+  RpcRequestRefused = 1304,
+  PacketsRefused = 1401,
+  MailboxFull = 1402,
+  ProbeAnswerMalformed = 1501,
+  TargetChanged = 1502,
+  OperatorRequestRefused = 1601,
+  OperatorWrite = 1602,
+};
+
+/// Importance of an event.
+enum class log_level : std::uint8_t { Info, Warning, Error };
+
+/// An entry of the catalogue of events.
+struct log_definition {
+  log_event Event;
+  std::string_view Name;
+  log_level Level;
+  std::string_view Text;
+};
+
+/// All events, ordered by number.
+std::span<const log_definition> logCatalogue();
+
+/// Returns the entry of an event.
+const log_definition &definitionOf(log_event Event);
+
+std::string_view toString(log_level Level);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_DAEMON_LOG_EVENT_H
--- /dev/null
+++ b/src/daemon/packet_command.h
@@ -0,0 +1,42 @@
+#ifndef BRIARPOINT_DAEMON_PACKET_COMMAND_H
+#define BRIARPOINT_DAEMON_PACKET_COMMAND_H
+
+#include "core/flow/flow_record.h"
+#include "core/view/forwarding_view.h"
+#include "io/mailbox.h"
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace briarpoint {
+
+/// Replaces the view of the data plane.
+struct apply_view {
+  std::shared_ptr<const forwarding_view> View;
+};
+
+/// Records from other balancers.
+struct store_records {
+  std::vector<flow_record> Records;
+};
+
+/// The process was paused: all records must be forgotten.
+struct reset_flows {};
+
+/// Asks for a records_report, for the state dump.
+struct report_records {
+  std::uint64_t Request = 0;
+};
+
+/// Ends the task.
+struct end_task {};
+
+/// Message from the control task to the packet task.
+using packet_command =
+    std::variant<apply_view, store_records, reset_flows, report_records, end_task>;
+using packet_commands = mailbox<packet_command>;
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_DAEMON_PACKET_COMMAND_H
