--- /dev/null
+++ b/src/daemon/operator_interface.h
@@ -0,0 +1,37 @@
+#ifndef BRIARPOINT_DAEMON_OPERATOR_INTERFACE_H
+#define BRIARPOINT_DAEMON_OPERATOR_INTERFACE_H
+
+#include "daemon/operator_backend.h"
+#include "io/http_message.h"
+
+namespace briarpoint {
+
+/// The operators' HTTP interface, without its server.
+class operator_interface {
+public:
+  /// \p Token authorizes writes; if it is empty, writes are refused. \p Backend must outlive the
+  /// object.
+  operator_interface(std::string Token, operator_backend &Backend);
+
+  /// Replaces the token.
+  void setToken(std::string NewToken) { Token = std::move(NewToken); }
+
+  /// Handles a request.
+  void handle(const http_request &Request, const http_responder &Respond);
+
+private:
+  void handleGet(const http_request &Request, const http_responder &Respond);
+  void handlePost(const http_request &Request, const http_responder &Respond);
+  void readConfiguration(const std::string &VersionText, const http_responder &Respond);
+  void submitPatch(const http_request &Request, const http_responder &Respond);
+  void refuse(const http_request &Request, int Status, const std::string &Message,
+              const http_responder &Respond);
+  bool isAuthorized(const http_request &Request) const;
+
+  std::string Token;
+  operator_backend &Backend;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_DAEMON_OPERATOR_INTERFACE_H
