Take log levels and outer source addresses from the settings

A fabric may vary its source port, so the packet task accepts any port of the outer source addresses; targets are looked up first, because a target may share the address of the fabric on one host. Types of the HTTP server and client get names of their own, apart from those of the platform client.

--- a/src/daemon/event_log.cpp
+++ b/src/daemon/event_log.cpp
@@ -22,6 +22,8 @@
 
 spdlog::level::level_enum toSpdlog(log_level Level) {
   switch (Level) {
+  case log_level::Debug:
+    return spdlog::level::debug;
   case log_level::Info:
     return spdlog::level::info;
   case log_level::Warning:
@@ -61,6 +63,8 @@
   Logger->log(toSpdlog(Definition.Level), "{}", Line);
 }
 
+void event_log::setLevel(log_level Level) { Logger->set_level(toSpdlog(Level)); }
+
 std::shared_ptr<spdlog::logger> makeStandardErrorLogger() {
   auto Logger = std::make_shared<spdlog::logger>("briarpoint",
                                                  std::make_shared<spdlog::sinks::stderr_sink_mt>());
--- a/src/daemon/event_log.h
+++ b/src/daemon/event_log.h
@@ -33,6 +33,9 @@
 
   void write(log_event Event, std::initializer_list<log_field> Fields = {});
 
+  /// Events below \p Level are not written.
+  void setLevel(log_level Level);
+
   /// Lines that were left out since the start.
   std::uint64_t suppressed() const { return Suppressed; }
 
--- a/src/daemon/log_event.cpp
+++ b/src/daemon/log_event.cpp
@@ -61,16 +61,4 @@
                        [Event](const log_definition &Entry) { return Entry.Event == Event; });
 }
 
-std::string_view toString(log_level Level) {
-  switch (Level) {
-  case log_level::Info:
-    return "info";
-  case log_level::Warning:
-    return "warning";
-  case log_level::Error:
-    break;
-  }
-  return "error";
-}
-
 } // namespace briarpoint
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -1,6 +1,8 @@
 #ifndef BRIARPOINT_DAEMON_LOG_EVENT_H
 #define BRIARPOINT_DAEMON_LOG_EVENT_H
 
+#include "config/log_level.h"
+
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -35,9 +37,6 @@
   OperatorWrite = 1602,
 };
 
-/// Importance of an event.
-enum class log_level : std::uint8_t { Info, Warning, Error };
-
 /// An entry of the catalogue of events.
 struct log_definition {
   log_event Event;
@@ -52,8 +51,6 @@
 /// Returns the entry of an event.
 const log_definition &definitionOf(log_event Event);
 
-std::string_view toString(log_level Level);
-
 } // namespace briarpoint
 
 #endif // BRIARPOINT_DAEMON_LOG_EVENT_H
--- a/src/daemon/operator_interface.cpp
+++ b/src/daemon/operator_interface.cpp
@@ -85,7 +85,7 @@
 operator_interface::operator_interface(std::string Token, operator_backend &Backend)
     : Token(std::move(Token)), Backend(Backend) {}
 
-void operator_interface::handle(const http_request &Request, const http_responder &Respond) {
+void operator_interface::handle(const incoming_request &Request, const http_responder &Respond) {
   if (Request.Method == "GET" || Request.Method == "HEAD")
     handleGet(Request, Respond);
   else if (Request.Method == "POST")
@@ -94,7 +94,7 @@
     refuse(Request, 405, "method not allowed", Respond);
 }
 
-void operator_interface::handleGet(const http_request &Request, const http_responder &Respond) {
+void operator_interface::handleGet(const incoming_request &Request, const http_responder &Respond) {
   const std::string &Path = Request.Path;
   if (Path == "/v1/config") {
     Respond(configurationResponse(*Backend.inForce()));
@@ -119,7 +119,8 @@
   }
 }
 
-void operator_interface::handlePost(const http_request &Request, const http_responder &Respond) {
+void operator_interface::handlePost(const incoming_request &Request,
+                                    const http_responder &Respond) {
   const bool IsPatch = Request.Path == "/v1/patches";
   if (!IsPatch && Request.Path != "/v1/leave") {
     refuse(Request, 404, "not found", Respond);
@@ -138,7 +139,7 @@
   Respond(json(202, R"({"status":"leaving"})"));
 }
 
-bool operator_interface::isAuthorized(const http_request &Request) const {
+bool operator_interface::isAuthorized(const incoming_request &Request) const {
   const auto Found = Request.Headers.find("authorization");
   if (Token.empty() || Found == Request.Headers.end())
     return false;
@@ -166,7 +167,8 @@
   });
 }
 
-void operator_interface::submitPatch(const http_request &Request, const http_responder &Respond) {
+void operator_interface::submitPatch(const incoming_request &Request,
+                                     const http_responder &Respond) {
   patch Patch;
   try {
     Patch = parsePatchJson(Request.Body, "patch");
@@ -184,8 +186,8 @@
       Patch, [Respond](const patch_outcome &Outcome) { Respond(outcomeResponse(Outcome)); });
 }
 
-void operator_interface::refuse(const http_request &Request, int Status, const std::string &Message,
-                                const http_responder &Respond) {
+void operator_interface::refuse(const incoming_request &Request, int Status,
+                                const std::string &Message, const http_responder &Respond) {
   Backend.noteRefused(Request.Path, Status);
   Respond(json(Status, nlohmann::json{{"error", Message}}.dump()));
 }
--- a/src/daemon/operator_interface.h
+++ b/src/daemon/operator_interface.h
@@ -17,16 +17,16 @@
   void setToken(std::string NewToken) { Token = std::move(NewToken); }
 
   /// Handles a request.
-  void handle(const http_request &Request, const http_responder &Respond);
+  void handle(const incoming_request &Request, const http_responder &Respond);
 
 private:
-  void handleGet(const http_request &Request, const http_responder &Respond);
-  void handlePost(const http_request &Request, const http_responder &Respond);
+  void handleGet(const incoming_request &Request, const http_responder &Respond);
+  void handlePost(const incoming_request &Request, const http_responder &Respond);
   void readConfiguration(const std::string &VersionText, const http_responder &Respond);
-  void submitPatch(const http_request &Request, const http_responder &Respond);
-  void refuse(const http_request &Request, int Status, const std::string &Message,
+  void submitPatch(const incoming_request &Request, const http_responder &Respond);
+  void refuse(const incoming_request &Request, int Status, const std::string &Message,
               const http_responder &Respond);
-  bool isAuthorized(const http_request &Request) const;
+  bool isAuthorized(const incoming_request &Request) const;
 
   std::string Token;
   operator_backend &Backend;
--- a/src/daemon/packet_task.cpp
+++ b/src/daemon/packet_task.cpp
@@ -1,9 +1,12 @@
 #include "daemon/packet_task.h"
 
+#include "core/request/priority_admission.h"
 #include "io/sockets.h"
 
 #include <poll.h>
 
+#include <algorithm>
+
 namespace briarpoint {
 
 namespace {
@@ -23,6 +26,13 @@
   return !Inner.empty() && (std::to_integer<unsigned>(Inner[0]) >> 4U) == 6;
 }
 
+/// Admission by priority class, one controller per service.
+admission_factory admission(random_source &Random) {
+  return [&Random](service_id) {
+    return std::make_unique<priority_admission>(priority_admission_settings{}, Random);
+  };
+}
+
 } // namespace
 
 packet_task::packet_task(const packet_task_settings &AllSettings, time_source &Clock,
@@ -30,8 +40,8 @@
     : Settings(AllSettings), Clock(Clock), Commands(Commands), Reports(Reports),
       Socket(openUdpSocket(AllSettings.Data)), Incoming(BatchSize, MaxDatagram),
       Outgoing(BatchSize, MaxGeneveHeaderSize, MaxCopied),
-      Plane(AllSettings.Self, AllSettings.DataPlane, Random, *this), Now(Clock.now()),
-      NextTick(Now), NextCounters(Now) {}
+      Plane(AllSettings.Self, AllSettings.DataPlane, Random, *this, admission(Random)),
+      Now(Clock.now()), NextTick(Now), NextCounters(Now) {}
 
 endpoint packet_task::local() const { return localEndpoint(Socket.get()); }
 
@@ -102,7 +112,10 @@
   }
   const target_view *const Target = View ? View->findTargetByTunnel(Source) : nullptr;
   if (Target == nullptr) {
-    ++Counters.UnknownSource;
+    if (isFabric(Source.Address))
+      Plane.handleForward(Outer->Inner, Now);
+    else
+      ++Counters.UnknownSource;
   } else if (Outer->Vni != static_cast<std::uint32_t>(Target->Service)) {
     ++Counters.WrongVni;
   } else {
@@ -110,6 +123,11 @@
   }
 }
 
+bool packet_task::isFabric(const ip_address &Source) const {
+  const std::vector<ip_address> &Known = Settings.OuterSources;
+  return std::find(Known.begin(), Known.end(), Source) != Known.end();
+}
+
 void packet_task::handleHandoverPacket(const endpoint &Source, const geneve_view &Outer) {
   // Only balancers may pass records; the option of anybody else must not be believed.
   if (!View || View->findMemberByData(Source) == nullptr) {
--- a/src/daemon/packet_task.h
+++ b/src/daemon/packet_task.h
@@ -49,6 +49,7 @@
   void handleCommand(const packet_command &Command);
   void handleBatch(std::size_t Count);
   void handleDatagram(const endpoint &Source, std::span<const std::byte> Payload);
+  bool isFabric(const ip_address &Source) const;
   void handleHandoverPacket(const endpoint &Source, const geneve_view &Outer);
   void send(const endpoint &To, std::uint32_t Vni, std::uint8_t OptionType,
             std::span<const std::byte> OptionBody, std::span<const std::byte> Inner);
--- a/src/daemon/packet_task_settings.h
+++ b/src/daemon/packet_task_settings.h
@@ -5,6 +5,8 @@
 #include "core/data/data_plane_settings.h"
 #include "net/endpoint.h"
 
+#include <vector>
+
 namespace briarpoint {
 
 /// Settings of the packet task.
@@ -12,8 +14,11 @@
   member_id Self{};
   /// Where Geneve packets arrive (UDP); port 0 lets the system choose.
   endpoint Data;
-  /// Where packets towards callers go, and forward packets come from.
+  /// Where packets towards callers go.
   endpoint Fabric;
+  /// Outer source addresses of forward packets, with any port: a fabric may vary the source port to
+  /// spread its load. Fabric itself always counts.
+  std::vector<ip_address> OuterSources;
   data_plane_settings DataPlane;
 
   auto operator<=>(const packet_task_settings &) const = default;
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -115,7 +115,7 @@
   event_free(State->Cleanup);
 }
 
-void http_client::send(const http_call &Call, callback Done) {
+void http_client::send(const outgoing_request &Call, callback Done) {
   auto New = std::make_unique<state::call>();
   New->Owner = State.get();
   New->Number = ++State->NextNumber;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -12,7 +12,7 @@
 namespace briarpoint {
 
 /// A request to send.
-struct http_call {
+struct outgoing_request {
   endpoint Server;
   /// "GET" or "POST".
   std::string Method = "GET";
@@ -39,7 +39,7 @@
 
   /// Sends a request. \p Done is called once, with nothing if there was no complete response in
   /// time.
-  void send(const http_call &Call, callback Done);
+  void send(const outgoing_request &Call, callback Done);
 
 private:
   struct state;
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -8,7 +8,7 @@
 namespace briarpoint {
 
 /// A received HTTP request.
-struct http_request {
+struct incoming_request {
   /// "GET", "POST" or another method in capitals.
   std::string Method;
   /// Path without query, such as "/v1/config".
@@ -30,7 +30,7 @@
 using http_responder = std::function<void(const http_response &)>;
 
 /// Handles a request.
-using http_handler = std::function<void(const http_request &, http_responder)>;
+using http_handler = std::function<void(const incoming_request &, http_responder)>;
 
 } // namespace briarpoint
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -80,8 +80,8 @@
   return 0;
 }
 
-http_request readRequest(evhtp_request_t *Request) {
-  http_request Result;
+incoming_request readRequest(evhtp_request_t *Request) {
+  incoming_request Result;
   Result.Method = methodName(Request);
   if (Request->uri != nullptr && Request->uri->path != nullptr &&
       Request->uri->path->full != nullptr)
@@ -161,7 +161,7 @@
   Self.Numbers[Request] = Number;
   Self.Busy.insert(Request->conn);
   const std::shared_ptr<state> Shared(*static_cast<std::shared_ptr<state> *>(Self.Server->arg));
-  const http_request Parsed = readRequest(Request);
+  const incoming_request Parsed = readRequest(Request);
   // The request stays paused until the responder is called, which may be at once.
   evhtp_request_pause(Request);
   Self.Handler(Parsed, [Shared, Number](const http_response &Response) {
--- a/standins/target_main.cpp
+++ b/standins/target_main.cpp
@@ -22,7 +22,7 @@
       : Target(Settings, Clock.now()), Vni(Settings.Vni), Balancers(BalancerFile),
         Random(Settings.Vni + Tunnel.Address.Bytes[3]), Port(Tunnel),
         Server(Loop, Health, {},
-               [this](const http_request &Request, const http_responder &Respond) {
+               [this](const incoming_request &Request, const http_responder &Respond) {
                  Respond(handleHttp(Request));
                }) {
     Loop.onReadable(Port.descriptor(), [this] { handlePackets(); });
@@ -45,7 +45,7 @@
     Port.flush();
   }
 
-  http_response handleHttp(const http_request &Request) {
+  http_response handleHttp(const incoming_request &Request) {
     if (Request.Path == "/health") {
       const std::string Body = Target.health(Clock.now());
       return Body.empty() ? http_response{500, {}, ""} : http_response{200, {}, Body};
--- a/tests/io/http_test.cpp
+++ b/tests/io/http_test.cpp
@@ -29,7 +29,7 @@
   void start() {
     Server = std::make_unique<http_server>(
         Loop, anyPort(), Limits,
-        [this](const http_request &Request, const http_responder &Respond) {
+        [this](const incoming_request &Request, const http_responder &Respond) {
           ++Handled;
           Last = Request;
           if (Request.Path == "/later") {
@@ -43,7 +43,7 @@
   std::optional<http_response> call(const std::string &Method, const std::string &Target,
                                     const std::string &Body,
                                     const std::map<std::string, std::string> &Headers = {}) {
-    http_call Call;
+    outgoing_request Call;
     Call.Server = Server->local();
     Call.Method = Method;
     Call.Target = Target;
@@ -92,7 +92,7 @@
   http_limits Limits;
   std::unique_ptr<http_server> Server;
   http_client Client{Loop};
-  http_request Last;
+  incoming_request Last;
   http_responder Waiting;
   bool AnswerWaiting = true;
   int Handled = 0;
@@ -211,7 +211,7 @@
                           {"never answers", localEndpoint(Listening.get())}};
   for (const fault &Fault : Faults) {
     SCOPED_TRACE(Fault.Name);
-    http_call Call;
+    outgoing_request Call;
     Call.Server = Fault.Server;
     Call.Target = "/";
     Call.Limit = std::chrono::milliseconds(200);
