--- /dev/null
+++ b/src/daemon/target_prober.h
@@ -0,0 +1,37 @@
+#ifndef BRIARPOINT_DAEMON_TARGET_PROBER_H
+#define BRIARPOINT_DAEMON_TARGET_PROBER_H
+
+#include "core/target/probe_result.h"
+#include "daemon/control_counters.h"
+#include "daemon/event_log.h"
+#include "io/http_client.h"
+
+#include <unordered_set>
+
+namespace briarpoint {
+
+/// Asks targets for their health over HTTP.
+class target_prober {
+public:
+  using callback = std::function<void(const probe_result &)>;
+
+  /// \p Limit is the time limit of a probe. The references must outlive the object.
+  target_prober(event_loop &Loop, duration Limit, control_counters &Counters, event_log &Log);
+
+  /// Probes a target. \p Done is called once, unless a probe of this target is still running.
+  void probe(target_id Target, const endpoint &Health, const callback &Done);
+
+private:
+  probe_result judge(target_id Target, const endpoint &Health,
+                     const std::optional<http_response> &Response);
+
+  duration Limit;
+  control_counters &Counters;
+  event_log &Log;
+  http_client Client;
+  std::unordered_set<target_id> Running;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_DAEMON_TARGET_PROBER_H
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -59,8 +59,28 @@
   return Response;
 }
 
+/// Bytes of header fields, with separators.
+std::size_t headerSize(const std::map<std::string, std::string> &Headers) {
+  std::size_t Size = 0;
+  for (const auto &[Name, Value] : Headers)
+    Size += Name.size() + Value.size() + 4;
+  return Size;
+}
+
 } // namespace
 
+std::size_t wireSize(const outgoing_request &Request) {
+  // Method, version, Host and Connection fields.
+  constexpr std::size_t Fixed = 65;
+  return Fixed + Request.Target.size() + headerSize(Request.Headers) + Request.Body.size();
+}
+
+std::size_t wireSize(const http_response &Response) {
+  // Status line and the empty line.
+  constexpr std::size_t Fixed = 19;
+  return Fixed + headerSize(Response.Headers) + Response.Body.size();
+}
+
 void http_client::state::onResponse(evhttp_request *Request, void *Argument) {
   auto &Call = *static_cast<call *>(Argument);
   Call.Owner->finish(Call, readResponse(Request), true);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -25,6 +25,10 @@
   std::size_t MaxResponse = 1'100'000;
 };
 
+/// Approximate size on the wire: start line, header fields and body.
+std::size_t wireSize(const outgoing_request &Request);
+std::size_t wireSize(const http_response &Response);
+
 /// HTTP/1.1 client on an event loop, by libevent. Each call uses a connection of its own.
 class http_client {
 public:
