Add the control task and the pages of log events and metrics

Cause: membership, configuration, probes and operators need one owner beside the packet task. Change: control_task joins the control plane with its sockets and HTTP; docs/LOG_EVENTS.md and docs/METRICS.md are compared with the code both ways by tests, as are status codes, authorization and dry runs of the operators' interface.

--- /dev/null
+++ b/src/daemon/peer_socket.h
@@ -0,0 +1,51 @@
+#ifndef BRIARPOINT_DAEMON_PEER_SOCKET_H
+#define BRIARPOINT_DAEMON_PEER_SOCKET_H
+
+#include "core/control/peer_message.h"
+#include "daemon/control_counters.h"
+#include "daemon/event_log.h"
+#include "io/file_descriptor.h"
+#include "io/receive_batch.h"
+#include "peer/authenticator_settings.h"
+#include "peer/message_authenticator.h"
+
+#include <functional>
+
+namespace briarpoint {
+
+/// UDP socket for authenticated messages between balancers.
+class peer_socket {
+public:
+  using handler = std::function<void(const endpoint &, const peer_message &)>;
+
+  /// \throws std::system_error if \p Local can't be bound.
+  peer_socket(const endpoint &Local, const authenticator_settings &Settings,
+              control_counters &Counters, event_log &Log);
+
+  int descriptor() const { return Socket.get(); }
+  endpoint local() const;
+
+  void send(const endpoint &To, const peer_message &Message);
+
+  /// Calls \p Handle for every valid message that is there. Others are counted and refused.
+  void receive(const handler &Handle);
+
+  /// Replaces the keys. \p Settings must have a higher incarnation, because sequence numbers begin
+  /// anew.
+  void setAuthenticator(const authenticator_settings &Settings) {
+    Authenticator = message_authenticator(Settings);
+  }
+
+private:
+  void handleDatagram(const endpoint &From, std::string_view Bytes, const handler &Handle);
+
+  file_descriptor Socket;
+  message_authenticator Authenticator;
+  control_counters &Counters;
+  event_log &Log;
+  receive_batch Incoming;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_DAEMON_PEER_SOCKET_H
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -234,6 +234,8 @@
   evhtp_free(State->Server);
 }
 
+void http_server::setLimits(const http_limits &Limits) { State->Limits = Limits; }
+
 endpoint http_server::local() const { return State->Local; }
 
 std::uint64_t http_server::refusedConnections() const { return State->Refused; }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -21,6 +21,9 @@
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
+  /// Replaces the limits; for open connections too, except for the size of bodies.
+  void setLimits(const http_limits &Limits);
+
   /// The endpoint that the server listens on.
   endpoint local() const;
 
