Add the object stores and a stand-in for the platform

Cause: the control plane needs an implementation of object_store, in memory for use without a platform and over HTTP for the platform's object API.

Change: memory_object_store answers in the order of the calls when its owner runs it. http_object_store uses libevent's HTTP client with a connection of its own per call, so that "nothing was sent" and "no answer" can be told apart; the answer is delivered from the loop, because libevent doesn't allow a connection to be freed in its own callback.

Conclusion: the daemon can use either store.

--- /dev/null
+++ b/tests/platform/http_object_store_test.cpp
@@ -0,0 +1,194 @@
+#include "tests/platform/http_harness.h"
+
+#include <gtest/gtest.h>
+
+namespace briarpoint {
+namespace {
+
+using test::http_harness;
+
+/// The object "head" has version 1 and value "one".
+class http_store_with_an_object : public testing::Test {
+protected:
+  http_store_with_an_object() { Harness.put("head", 0, "one"); }
+
+  object_status watchStatus() {
+    std::optional<object_result> Result;
+    Harness.store().watch("head", 1, [&](const object_result &R) { Result = R; });
+    Harness.await(Result);
+    return Result ? Result->Status : object_status::Ok;
+  }
+
+  http_harness Harness;
+};
+
+// Guards against a fault that is told as another one: a put told as refused although it took effect
+// would be repeated under another version; one told as unknown although it was refused would make
+// an operator wait for nothing.
+TEST_F(http_store_with_an_object, EachFaultOfThePlatformIsToldApart) {
+  struct row {
+    const char *Name;
+    standins::platform_faults Faults;
+    object_status Get;
+    object_status Put;
+    /// Nothing if the whole time of a watch would have to pass.
+    std::optional<object_status> Watch;
+    const char *ValueAfter;
+  };
+  constexpr auto Unavailable = object_status::Unavailable;
+  const row Rows[] = {
+      {"slow, within the time-out",
+       {.DelayMs = 20},
+       object_status::Ok,
+       object_status::Ok,
+       object_status::Ok,
+       "two"},
+      {"down", {.Down = true}, Unavailable, Unavailable, Unavailable, "one"},
+      {"over the rate", {.OverRate = true}, Unavailable, Unavailable, Unavailable, "one"},
+      {"lost answer of a put",
+       {.LosePutAnswers = true},
+       object_status::Ok,
+       object_status::Unknown,
+       object_status::Ok,
+       "two"},
+      {"slow, beyond the time-out",
+       {.DelayMs = 60'000},
+       Unavailable,
+       object_status::Unknown,
+       std::nullopt,
+       "two"},
+      {"no answer", {.Hang = true}, Unavailable, object_status::Unknown, std::nullopt, "one"},
+  };
+  object_version Version = 1;
+  for (const row &Row : Rows) {
+    SCOPED_TRACE(Row.Name);
+    Harness.server().setFaults({});
+    Version = Harness.put("head", Version, "one").Version;
+    Harness.server().setFaults(Row.Faults);
+    EXPECT_EQ(Harness.get("head").Status, Row.Get);
+    EXPECT_EQ(Harness.put("head", Version, "two").Status, Row.Put);
+    if (Row.Watch) {
+      EXPECT_EQ(watchStatus(), *Row.Watch);
+    }
+    Harness.server().setFaults({});
+    const object_result After = Harness.get("head");
+    EXPECT_EQ(After.Value, Row.ValueAfter);
+    Version = After.Version;
+  }
+}
+
+// Guards against a refused connection that is told as an unknown outcome.
+TEST_F(http_store_with_an_object, ARefusedConnectionIsUnavailable) {
+  Harness.stopServer();
+  EXPECT_EQ(Harness.get("head").Status, object_status::Unavailable);
+  EXPECT_EQ(Harness.put("head", 1, "two").Status, object_status::Unavailable);
+  EXPECT_EQ(watchStatus(), object_status::Unavailable);
+  EXPECT_EQ(Harness.listInstances().first, object_status::Unavailable);
+}
+
+// Guards against a connection that ends in the middle of a call without an answer to the caller.
+TEST_F(http_store_with_an_object, AConnectionThatEndsIsNoAnswer) {
+  Harness.server().setFaults({.Hang = true});
+  std::optional<object_result> Put;
+  std::optional<object_result> Get;
+  Harness.store().put("head", 1, "two", [&](const object_result &R) { Put = R; });
+  Harness.store().get("head", [&](const object_result &R) { Get = R; });
+  while (Harness.server().calls().Writes < 2 || Harness.server().calls().Reads < 1)
+    Harness.step();
+  Harness.stopServer();
+  Harness.await(Put);
+  Harness.await(Get);
+  EXPECT_EQ(Put->Status, object_status::Unknown);
+  EXPECT_EQ(Get->Status, object_status::Unavailable);
+}
+
+// Guards against sockets and memory without bound while the platform is slow.
+TEST_F(http_store_with_an_object, CallsBeyondTheLimitAreRefused) {
+  Harness.server().setFaults({.Hang = true});
+  for (int I = 0; I < 8; ++I)
+    Harness.store().watch("head", 1, [](const object_result &) {});
+  EXPECT_EQ(Harness.put("head", 1, "two").Status, object_status::Unavailable);
+  EXPECT_EQ(Harness.server().calls().Writes, 1U);
+}
+
+// Guards against use of the store after a callback destroyed it.
+TEST_F(http_store_with_an_object, ACallbackMayDestroyTheStore) {
+  bool Answered = false;
+  bool Other = false;
+  Harness.store().get("head", [&](const object_result &) {
+    Answered = true;
+    Harness.destroyStore();
+  });
+  Harness.store().watch("head", 1, [&](const object_result &) { Other = true; });
+  while (!Answered)
+    Harness.step();
+  EXPECT_FALSE(Other);
+}
+
+// Guards against malformed lists that stop a balancer from finding its peers, or crash it.
+TEST_F(http_store_with_an_object, MalformedListsOfInstances) {
+  struct row {
+    const char *Body;
+    object_status Status;
+    std::size_t Entries;
+  };
+  const row Rows[] = {
+      {R"({"instances":[{"name":"a","control":"10.0.0.1:1","zone":"x"},{"name":"b"},
+          {"name":"c","control":"here"},{"name":3,"control":"10.0.0.1:1"},7]})",
+       object_status::Ok, 1},
+      {R"({"instances":[],"next":null})", object_status::Ok, 0},
+  };
+  for (const row &Row : Rows) {
+    SCOPED_TRACE(Row.Body);
+    ASSERT_EQ(Harness.post("/instances", Row.Body).first, 200);
+    const auto Listed = Harness.listInstances();
+    EXPECT_EQ(Listed.first, Row.Status);
+    EXPECT_EQ(Listed.second.size(), Row.Entries);
+  }
+}
+
+TEST(http_store_token, IsRequiredAndSent) {
+  http_harness Right("token-of-the-platform", "token-of-the-platform");
+  EXPECT_EQ(Right.put("k", 0, "v").Status, object_status::Ok);
+  http_harness Wrong("token-of-the-platform", "another");
+  EXPECT_EQ(Wrong.put("k", 0, "v").Status, object_status::Unavailable);
+  http_harness None("token-of-the-platform");
+  EXPECT_EQ(None.get("k").Status, object_status::Unavailable);
+}
+
+// Guards against a stand-in whose switches or counts don't work, which would make tests of the
+// daemon against it meaningless.
+TEST_F(http_store_with_an_object, TheStandInIsControlledByHttp) {
+  std::optional<object_result> Watch;
+  Harness.store().watch("head", 1, [&](const object_result &R) { Watch = R; });
+  Harness.get("head");
+  EXPECT_EQ(Harness.fetch("/calls").second, R"({"reads":2,"waiting_watches":1,"writes":1})");
+  EXPECT_EQ(Harness.post("/faults", R"({"down":true})").first, 200);
+  EXPECT_EQ(Harness.get("head").Status, object_status::Unavailable);
+  EXPECT_EQ(Harness.post("/faults", "{}").first, 200);
+  EXPECT_EQ(Harness.get("head").Status, object_status::Ok);
+  EXPECT_EQ(Harness.post("/faults", R"({"dwon":true})").first, 422);
+  EXPECT_EQ(Harness.post("/faults", "{").first, 422);
+  EXPECT_EQ(Harness.fetch("/v2").first, 404);
+}
+
+TEST_F(http_store_with_an_object, TheStandInsListLags) {
+  ASSERT_EQ(Harness.post("/faults", R"({"instances_lag_ms":50})").first, 200);
+  Harness.setInstances({{"a", "10.0.0.1:1", false}});
+  EXPECT_TRUE(Harness.listInstances().second.empty());
+  while (Harness.listInstances().second.empty())
+    Harness.step();
+}
+
+// A watch of a caller that has gone must not count as waiting.
+TEST_F(http_store_with_an_object, TheStandInForgetsWatchesOfEndedConnections) {
+  Harness.store().watch("head", 1, [](const object_result &) {});
+  while (Harness.server().calls().WaitingWatches == 0)
+    Harness.step();
+  Harness.destroyStore();
+  while (Harness.server().calls().WaitingWatches != 0)
+    Harness.step();
+}
+
+} // namespace
+} // namespace briarpoint
