Mix every bit of the second value into mixHash

mixHash() set the lowest bit of its second value, so 2k and 2k+1 gave the same result. seeded_random repeated each number once, and ownership slots had equal owners in pairs: 2,048 shares instead of 4,096. Simulated loss of single messages came in pairs, too.

Add 1 instead. Owners and seeded runs differ from those of earlier builds.

--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -12,7 +12,7 @@
 /// Mixes two 64-bit values into one; used for rendezvous hashing.
 constexpr std::uint64_t mixHash(std::uint64_t First, std::uint64_t Second) {
   // The finalizer of SplitMix64, applied to a combination that isn't symmetric.
-  std::uint64_t Value = First + 0x9e3779b97f4a7c15U * (Second | 1U) + (Second >> 32U);
+  std::uint64_t Value = First + 0x9e3779b97f4a7c15U * (Second + 1U) + (Second >> 32U);
   Value = (Value ^ (Value >> 30U)) * 0xbf58476d1ce4e5b9U;
   Value = (Value ^ (Value >> 27U)) * 0x94d049bb133111ebU;
   return Value ^ (Value >> 31U);
