Keep the membership stable under loss, deafness and partitions

Two lost heartbeats in a row made a suspicion, which at 10% loss happened to each process several times a minute. A member that is held for dead by some and for alive by others could stay so for the length of a partition.

- A member whose heartbeat is overdue is asked for one before it is suspected (heartbeat::WantsAnswer).
- The claim that a member is dead counts for 20 s, since full states are seldom, and exchanges take turns between peers.

--- a/src/core/control/control_plane_messages.cpp
+++ b/src/core/control/control_plane_messages.cpp
@@ -9,7 +9,7 @@
 
 /// Shortest time between two heartbeats out of turn.
 constexpr duration UrgentInterval = std::chrono::milliseconds(200);
-constexpr duration AnswerInterval = std::chrono::milliseconds(500);
+constexpr duration AnswerInterval = std::chrono::milliseconds(300);
 /// How often a lost member and a seed that isn't a member are tried, and the platform's list is
 /// read by a process that knows nobody.
 constexpr duration LostInterval = std::chrono::seconds(2);
@@ -28,6 +28,14 @@
 } // namespace
 
 void control_plane::state::sendHeartbeats(instant Time) {
+  const std::vector<member_id> Overdue = Members.takeQueries(Time);
+  if (!Overdue.empty()) {
+    heartbeat Query = makeHeartbeat();
+    Query.WantsAnswer = true;
+    const peer_message Sent = std::move(Query);
+    for (const member_id Id : Overdue)
+      Listener.sendMessage(Members.find(Id)->Info.Control, Sent);
+  }
   UrgentPending |= Members.takeUrgent();
   UrgentPending |= Targets.takeUrgent();
   const bool Regular = Time >= NextHeartbeatAt;
--- a/src/core/control/control_plane_state.cpp
+++ b/src/core/control/control_plane_state.cpp
@@ -165,7 +165,7 @@
   if (Message.Sender.State == member_state::Joining && !Equal &&
       Exchange.takeAnswer(Message.Sender.Id, Time))
     sendFullState(Message.Sender, false, Time);
-  if (WasOutdated)
+  if (WasOutdated || Message.WantsAnswer)
     answer(Message, Time);
 }
 
--- a/src/core/control/peer_message.h
+++ b/src/core/control/peer_message.h
@@ -17,6 +17,8 @@
   /// The sender, complete, so that a receiver that doesn't know it yet can answer.
   member_info Sender;
   config_version Version = 0;
+  /// The sender misses heartbeats of the receiver and asks for one at once.
+  bool WantsAnswer = false;
   /// Digests of the sender's member and target-status maps.
   std::uint64_t MemberDigest = 0;
   std::uint64_t StatusDigest = 0;
--- a/src/core/control/state_exchange.cpp
+++ b/src/core/control/state_exchange.cpp
@@ -56,11 +56,13 @@
 std::optional<member_id> state_exchange::takeDue(instant Now) {
   if (Now < NextExchangeAt)
     return std::nullopt;
-  const auto Due = std::find_if(DueAt.begin(), DueAt.end(),
-                                [&](const auto &Item) { return Now >= Item.second; });
+  const auto IsDue = [&](const auto &Item) { return Now >= Item.second; };
+  auto Due = std::find_if(DueAt.upper_bound(LastPeer), DueAt.end(), IsDue);
+  if (Due == DueAt.end())
+    Due = std::find_if(DueAt.begin(), DueAt.end(), IsDue);
   if (Due == DueAt.end())
     return std::nullopt;
-  const member_id Peer = Due->first;
+  const member_id Peer = LastPeer = Due->first;
   // Others may have differed for the same reason; they show it again if not.
   DueAt.clear();
   NextExchangeAt = Now + ExchangeInterval;
--- a/src/core/control/state_exchange.h
+++ b/src/core/control/state_exchange.h
@@ -31,6 +31,8 @@
   std::map<member_id, instant> DueAt;
   /// When the peer may get the next full state.
   std::map<member_id, instant> NextAnswerAt;
+  /// The next exchange is with the first due peer after this one, so that each has its turn.
+  member_id LastPeer = NoMember;
   instant NextExchangeAt{};
   /// Full states that may be sent at once, and when the next one is added.
   std::uint32_t Allowance = MaxAllowance;
--- a/src/core/member/member_controller.cpp
+++ b/src/core/member/member_controller.cpp
@@ -8,6 +8,9 @@
 
 /// How long a relayed accusation counts, and how long its copies are ignored afterwards.
 constexpr duration AccusationLife = std::chrono::seconds(3);
+/// How long the claim counts that a member is dead. Claims come with full states, which are seldom,
+/// and two must count at the same time.
+constexpr duration DeathClaimLife = std::chrono::seconds(20);
 constexpr duration AccusationMemory = std::chrono::seconds(30);
 /// A process that hears nobody declares others dead only after this time: it may be deaf itself,
 /// and would otherwise take over all flows.
@@ -38,7 +41,7 @@
   DeafAt = Now + Settings.SuspectAfter;
   for (auto &[Id, Entry] : Entries) {
     Entry.Accusers.erase(Self.Id);
-    Entry.SilentAt = Now + suspectAfter(Entry);
+    expectHeartbeat(Entry, Now);
     if (Entry.isDead())
       continue;
     Entry.Suspected = false;
@@ -72,7 +75,7 @@
   const bool Outdated = !Current || (Entry.isDead() && Sender.State != member_state::Dead);
   if (!Outdated) {
     Entry.Heard = true;
-    Entry.SilentAt = Now + suspectAfter(Entry);
+    expectHeartbeat(Entry, Now);
     Entry.Accusers.erase(Self.Id);
     evaluate(Entry, Now);
   }
@@ -130,8 +133,9 @@
   Entry.Left = Update.State == member_state::Leaving;
   if (Newer) {
     Entry.Heard = false;
-    Entry.SilentAt = Now + suspectAfter(Entry);
+    expectHeartbeat(Entry, Now);
     Entry.Accusers.clear();
+    Entry.DeathClaims.clear();
     Entry.Suspected = false;
     Entry.DeadAt = Entry.SpreadUntil = Entry.ForgetAt = Never;
   }
@@ -155,13 +159,14 @@
   if (Entry.Suspected || Entry.Info.State == member_state::Leaving)
     markDead(Entry, Now);
   else
-    accuse(Sender, {Entry.Info.Id, Entry.Info.Incarnation, Sender}, Now);
+    Entry.DeathClaims[Sender] = Now + DeathClaimLife;
 }
 
 void member_controller::markDead(member_entry &Entry, instant Now) {
   Entry.Info.State = member_state::Dead;
   Entry.Suspected = false;
   Entry.Accusers.clear();
+  Entry.DeathClaims.clear();
   Entry.DeadAt = Never;
   Entry.SpreadUntil = Now + Settings.DeathSpread;
   Entry.ForgetAt = Now + Settings.DeadKeep;
@@ -214,6 +219,22 @@
   return Settings.SuspectAfter + Settings.SuspectAfter * Steps / 2;
 }
 
+void member_controller::expectHeartbeat(member_entry &Entry, instant Now) const {
+  Entry.SilentAt = Now + suspectAfter(Entry);
+  Entry.QueryAt = Now + Settings.SuspectAfter / 2;
+}
+
+std::vector<member_id> member_controller::takeQueries(instant Now) {
+  std::vector<member_id> Overdue;
+  for (auto &[Id, Entry] : Entries) {
+    if (!Entry.Monitored || Entry.isDead() || Now < Entry.QueryAt)
+      continue;
+    Entry.QueryAt = Now + Settings.SuspectAfter / 6;
+    Overdue.push_back(Id);
+  }
+  return Overdue;
+}
+
 void member_controller::tick(instant Now) {
   if (DeafAt == Never)
     DeafAt = Now + Settings.SuspectAfter;
@@ -257,17 +278,26 @@
   return Entry != nullptr && !Entry->isDead() && !Entry->Suspected;
 }
 
-void member_controller::evaluate(member_entry &Entry, instant Now) {
-  // Count the accusations that hold, and those from this data centre.
-  std::size_t Accusers = 0;
-  std::size_t Near = 0;
-  for (const auto &[Accuser, Until] : Entry.Accusers) {
-    if (Now >= Until)
-      continue;
-    ++Accusers;
+std::size_t member_controller::countAccusers(const member_entry &Entry, bool NearOnly,
+                                             instant Now) const {
+  const auto IsNear = [&](member_id Accuser) {
     const member_entry *Other = find(Accuser);
-    Near += Other == nullptr || Other->Info.DataCentre == Self.DataCentre ? 1 : 0;
+    return Other == nullptr || Other->Info.DataCentre == Self.DataCentre;
+  };
+  std::size_t Count = 0;
+  for (const auto &[Accuser, Until] : Entry.Accusers)
+    Count += Now < Until && (!NearOnly || IsNear(Accuser)) ? 1 : 0;
+  for (const auto &[Claimant, Until] : Entry.DeathClaims) {
+    const auto Accuser = Entry.Accusers.find(Claimant);
+    const bool Counted = Accuser != Entry.Accusers.end() && Now < Accuser->second;
+    Count += Now < Until && !Counted && (!NearOnly || IsNear(Claimant)) ? 1 : 0;
   }
+  return Count;
+}
+
+void member_controller::evaluate(member_entry &Entry, instant Now) {
+  const std::size_t Accusers = countAccusers(Entry, false, Now);
+  const std::size_t Near = countAccusers(Entry, true, Now);
   std::erase_if(Entry.Accusers, [&](const auto &Accuser) {
     return Accuser.second != Never && Now >= Accuser.second + AccusationMemory;
   });
@@ -303,7 +333,7 @@
         std::find(Entry.Monitors.begin(), Entry.Monitors.end(), Self.Id) != Entry.Monitors.end();
     // The member may need a moment to learn that this process waits for its heartbeats.
     if (Monitored && !Entry.Monitored)
-      Entry.SilentAt = Now + suspectAfter(Entry);
+      expectHeartbeat(Entry, Now);
     if (!Monitored)
       Entry.Accusers.erase(Self.Id);
     Entry.Monitored = Monitored;
--- a/src/core/member/member_controller.h
+++ b/src/core/member/member_controller.h
@@ -44,6 +44,11 @@
   /// Members that this process suspects itself, who should hear of it to refute it.
   std::vector<member_id> accused() const;
 
+  /// Monitored members whose heartbeat is overdue, to be asked for one. Without this, two lost
+  /// messages in a row would make a suspicion, which at 10% loss happens to each process several
+  /// times a minute.
+  std::vector<member_id> takeQueries(instant Now);
+
   /// News for one heartbeat that goes to \p Copies receivers.
   std::vector<member_info> takeUpdates(std::size_t Limit, std::uint32_t Copies);
   std::vector<member_suspicion> takeSuspicions(std::size_t Limit, std::uint32_t Copies,
@@ -86,11 +91,13 @@
   void markDead(member_entry &Entry, instant Now);
   void accuse(member_id Sender, const member_suspicion &Suspicion, instant Now);
   void withdraw(member_id Accuser, std::span<const member_suspicion> Suspicions, instant Now);
+  std::size_t countAccusers(const member_entry &Entry, bool NearOnly, instant Now) const;
   void watchSilence(member_entry &Entry, instant Now);
   void evaluate(member_entry &Entry, instant Now);
   std::size_t quorum(const member_entry &Entry) const;
   bool isAlive(member_id Member) const;
   duration suspectAfter(const member_entry &Entry) const;
+  void expectHeartbeat(member_entry &Entry, instant Now) const;
   void rebuildRing(instant Now);
   void forget(instant Now);
   std::uint32_t copies() const { return disseminationCopies(Entries.size()); }
--- a/src/core/member/member_entry.h
+++ b/src/core/member/member_entry.h
@@ -20,9 +20,14 @@
   bool Heard = false;
   /// When silence becomes a suspicion, if this process monitors it.
   instant SilentAt = Never;
+  /// When the member is asked for a heartbeat, because one is overdue.
+  instant QueryAt = Never;
   /// Accusers and when their accusation lapses. A lapsed one stays for a while, so that copies that
   /// still circulate don't renew it.
   std::map<member_id, instant> Accusers;
+  /// Members that hold this one for dead, and how long their claim counts. Unlike accusations,
+  /// claims aren't repeated by heartbeats.
+  std::map<member_id, instant> DeathClaims;
   bool Suspected = false;
   instant DeadAt = Never;
   /// Set for a dead member: when its death isn't spread any more, and when it is forgotten.
--- a/src/core/member/member_settings.h
+++ b/src/core/member/member_settings.h
@@ -17,7 +17,7 @@
   duration DeadAfter = std::chrono::milliseconds(1500);
   std::uint32_t RingSuccessors = 8;
   /// Time in which refutations of a member count towards its dampening.
-  duration DampingWindow = std::chrono::seconds(60);
+  duration DampingWindow = std::chrono::minutes(5);
   /// How long a dead member is remembered and tried again now and then. A region can be cut off for
   /// minutes, and the seeds may all have been replaced in the meantime.
   duration DeadKeep = std::chrono::hours(1);
--- a/src/peer/message_layout.h
+++ b/src/peer/message_layout.h
@@ -33,7 +33,7 @@
 
 /// Elements of the arrays.
 inline constexpr std::size_t MemberFields = 9;
-inline constexpr std::size_t HeartbeatFields = 9;
+inline constexpr std::size_t HeartbeatFields = 10;
 inline constexpr std::size_t FullStateFields = 7;
 inline constexpr std::size_t RecordBatchFields = 6;
 
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -216,11 +216,12 @@
   heartbeat Message;
   Message.Sender = member(Fields[2], "sender");
   Message.Version = unsignedNumber(Fields[3], "version");
-  Message.MemberDigest = unsignedNumber(Fields[4], "member_digest");
-  Message.StatusDigest = unsignedNumber(Fields[5], "status_digest");
-  Message.Members = members(Fields[6], "members");
-  Message.Statuses = statuses(Fields[7], "statuses");
-  Message.Suspects = suspicions(Fields[8], "suspects");
+  Message.WantsAnswer = flag(Fields[4], "wants_answer");
+  Message.MemberDigest = unsignedNumber(Fields[5], "member_digest");
+  Message.StatusDigest = unsignedNumber(Fields[6], "status_digest");
+  Message.Members = members(Fields[7], "members");
+  Message.Statuses = statuses(Fields[8], "statuses");
+  Message.Suspects = suspicions(Fields[9], "suspects");
   return Message;
 }
 
--- a/src/peer/peer_encoder.cpp
+++ b/src/peer/peer_encoder.cpp
@@ -102,6 +102,7 @@
     begin(HeartbeatFields, kind::Heartbeat);
     packMember(Packer, Message.Sender);
     Packer.pack(Message.Version);
+    Packer.pack(Message.WantsAnswer);
     Packer.pack_fix_uint64(Message.MemberDigest);
     Packer.pack_fix_uint64(Message.StatusDigest);
     packMembers(Packer, Message.Members);
--- a/tests/control/fleet_support.cpp
+++ b/tests/control/fleet_support.cpp
@@ -1,5 +1,8 @@
 #include "tests/control/fleet_support.h"
 
+#include "peer/message_authenticator.h"
+#include "peer/peer_codec.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint16_t FirstPort = 10000;
+/// Request and answer of a probe, as the design page estimates them.
+constexpr std::uint64_t ProbeSize = 300;
 
 endpoint makeEndpoint(std::size_t Port) {
   return {*parseIpAddress("127.0.0.1"), static_cast<std::uint16_t>(Port)};
@@ -98,7 +103,11 @@
 void fake_store::listInstances(instances_callback Done) {
   ++Platform.Calls;
   const object_status Status = up() ? object_status::Ok : object_status::Unknown;
-  Queue.after(milliseconds(5), [Done, Status] { Done(Status, {}); });
+  std::vector<instance_entry> List;
+  if (up())
+    for (const auto &[Name, Control] : Platform.Instances)
+      List.push_back({Name, Control, false});
+  Queue.after(milliseconds(5), [Done, Status, List] { Done(Status, List); });
 }
 
 process::process(fleet &Fleet, std::size_t Index, const control_plane_settings &Settings)
@@ -108,6 +117,9 @@
 }
 
 void process::sendMessage(const endpoint &To, const peer_message &Message) {
+  // Counting the bytes of each message would take most of the time of long runs.
+  if (Fleet.CountBytes)
+    BytesSent += encodePeerMessage(Message).size() + message_authenticator::Overhead;
   const std::size_t Receiver = Fleet.indexOf(To);
   if (Fleet.Cut(Index, Receiver) || Fleet.Random.unit() < Fleet.Loss)
     return;
@@ -121,6 +133,12 @@
 }
 
 void process::publishView(std::shared_ptr<const forwarding_view> NewView) {
+  if (View != nullptr)
+    for (const member_view &Before : View->members()) {
+      const member_view *After = NewView->findMember(Before.Id);
+      if (!Before.Suspected && (After == nullptr || After->Suspected))
+        ++Doubts[Before.Id];
+    }
   View = std::move(NewView);
   if (!FinishesTransfers)
     return;
@@ -139,6 +157,7 @@
 }
 
 void process::probeTarget(target_id Target, const endpoint &) {
+  BytesSent += Fleet.CountBytes ? ProbeSize : 0;
   const auto Found = Fleet.Targets.find(Target);
   probe_result Result;
   Result.Target = Target;
@@ -224,6 +243,7 @@
 
 void fleet::create(std::size_t Index) {
   Processes[Index] = std::make_unique<process>(*this, Index, All[Index]);
+  Platform.Instances[All[Index].Self.Name] = toString(All[Index].Self.Control);
   Processes[Index]->Control->start(Queue.now());
   scheduleTick(Index, ++Generations[Index]);
 }
@@ -236,6 +256,11 @@
   const std::shared_ptr<process> Ended = std::move(Processes.at(Index));
   Ended->Control.reset();
   Processes.erase(Index);
+  // The platform's list lags.
+  Queue.after(seconds(20), [this, Index] {
+    if (!alive(Index))
+      Platform.Instances.erase(All[Index].Self.Name);
+  });
   Queue.after(std::chrono::hours(10), [Ended] {});
 }
 
--- a/tests/control/fleet_support.h
+++ b/tests/control/fleet_support.h
@@ -39,6 +39,8 @@
   std::string LoseAnswersOf;
   std::uint32_t LostAnswers = 0;
   std::uint64_t Calls = 0;
+  /// Control endpoints of the instances that the platform lists.
+  std::map<std::string, std::string> Instances;
 };
 
 /// Access of one process to the platform.
@@ -106,10 +108,13 @@
   std::set<member_id> Transferred;
   std::size_t StoredRecords = 0;
   std::size_t Resets = 0;
+  /// Encoded and authenticated messages and probes.
   std::uint64_t BytesSent = 0;
   /// Checked at each tick.
   config_version HighestVersion = 0;
   bool VersionFell = false;
+  /// How often a published view showed a member newly suspected or gone.
+  std::map<member_id, std::size_t> Doubts;
 };
 
 /// Control planes joined by an in-memory exchange with faults.
@@ -153,6 +158,7 @@
     return false;
   };
   double Loss = 0;
+  bool CountBytes = false;
   duration MaxDelay = std::chrono::milliseconds(2);
   seeded_random Random;
   ownership_scope Scope;
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -74,6 +74,7 @@
     heartbeat Message;
     Message.Sender = arbitraryMember();
     Message.Version = *rc::gen::arbitrary<std::uint64_t>();
+    Message.WantsAnswer = *rc::gen::arbitrary<bool>();
     Message.MemberDigest = *rc::gen::arbitrary<std::uint64_t>();
     Message.StatusDigest = *rc::gen::arbitrary<std::uint64_t>();
     Message.Members = several(arbitraryMember);
