--- a/src/core/target/target_probe.cpp
+++ b/src/core/target/target_probe.cpp
@@ -13,6 +13,10 @@
 constexpr double SignificantConnections = 0.25;
 constexpr double SmallestUseStep = 10;
 constexpr double SmallestConnectionStep = 8;
+/// The limits fall to this share of them with the age of the last report, so that a small change
+/// isn't hidden for ever.
+constexpr double AgedShare = 0.25;
+constexpr std::chrono::duration<double> AgingTime = std::chrono::seconds(60);
 
 bool differs(double Now, double Before, double Share, double Least) {
   return std::abs(Now - Before) >= std::max(Least, Share * Before);
@@ -85,13 +89,17 @@
   Status.SlotUse = static_cast<std::uint8_t>(std::min(255.0, std::round(SlotUse * 255.0)));
   Status.Connections = static_cast<std::uint32_t>(std::round(Connections));
   if (Reported && Reported->Health == Health) {
-    const bool Changed =
-        differs(Status.SlotUse, Reported->SlotUse, SignificantUse, SmallestUseStep) ||
-        differs(Connections, Reported->Connections, SignificantConnections, SmallestConnectionStep);
+    const double Age = (Now - ReportedAt) / AgingTime;
+    const double Limit = std::max(AgedShare, 1.0 - Age);
+    const bool Changed = differs(Status.SlotUse, Reported->SlotUse, Limit * SignificantUse,
+                                 Limit * SmallestUseStep) ||
+                         differs(Connections, Reported->Connections, Limit * SignificantConnections,
+                                 Limit * SmallestConnectionStep);
     if (!Changed || Now < LoadReportAt)
       return std::nullopt;
   }
   Reported = Status;
+  ReportedAt = Now;
   LoadReportAt = Now + Settings.LoadReportInterval;
   return Status;
 }
--- a/src/core/target/target_probe.h
+++ b/src/core/target/target_probe.h
@@ -43,6 +43,7 @@
   instant LastSample{};
   /// What was reported last, and when load alone may be reported again.
   std::optional<target_status> Reported;
+  instant ReportedAt{};
   instant LoadReportAt{};
 };
 
--- a/tests/control/fleet_support.cpp
+++ b/tests/control/fleet_support.cpp
@@ -119,7 +119,7 @@
 void process::sendMessage(const endpoint &To, const peer_message &Message) {
   // Counting the bytes of each message would take most of the time of long runs.
   if (Fleet.CountBytes)
-    BytesSent += encodePeerMessage(Message).size() + message_authenticator::Overhead;
+    Fleet.BytesSent[Index] += encodePeerMessage(Message).size() + message_authenticator::Overhead;
   const std::size_t Receiver = Fleet.indexOf(To);
   if (Fleet.Cut(Index, Receiver) || Fleet.Random.unit() < Fleet.Loss)
     return;
@@ -157,7 +157,8 @@
 }
 
 void process::probeTarget(target_id Target, const endpoint &) {
-  BytesSent += Fleet.CountBytes ? ProbeSize : 0;
+  if (Fleet.CountBytes)
+    Fleet.BytesSent[Index] += ProbeSize;
   const auto Found = Fleet.Targets.find(Target);
   probe_result Result;
   Result.Target = Target;
--- a/tests/control/fleet_support.h
+++ b/tests/control/fleet_support.h
@@ -108,8 +108,6 @@
   std::set<member_id> Transferred;
   std::size_t StoredRecords = 0;
   std::size_t Resets = 0;
-  /// Encoded and authenticated messages and probes.
-  std::uint64_t BytesSent = 0;
   /// Checked at each tick.
   config_version HighestVersion = 0;
   bool VersionFell = false;
@@ -159,6 +157,8 @@
   };
   double Loss = 0;
   bool CountBytes = false;
+  /// Encoded and authenticated messages and probes of each process, over its restarts.
+  std::map<std::size_t, std::uint64_t> BytesSent;
   duration MaxDelay = std::chrono::milliseconds(2);
   seeded_random Random;
   ownership_scope Scope;
