Test flows, records and the fabric under faults

The table found that the silence detector overflowed when a target had never served a flow, and so ended flows of an idle target; it now compares points in time.

--- a/src/core/data/flow_store.cpp
+++ b/src/core/data/flow_store.cpp
@@ -143,7 +143,7 @@
   // Former owners keep records until the new ones surely have them.
   const slot_state &Slot = Slots.slotOf(Entry.Id);
   return !Slot.SelfOwner && View.allReachable() && Slots.routeOf(Entry.Id).FirstHop != NoHop &&
-         Now >= Slot.ConvergedAt && Now - Slot.ChangedAt > Settings.TcpRefresh;
+         Now >= Slot.ConvergedAt && Now > Slot.ChangedAt + Settings.TcpRefresh;
 }
 
 void flow_store::sweep(instant Now, const forwarding_view &View) {
--- a/src/core/flow/silence_detector.cpp
+++ b/src/core/flow/silence_detector.cpp
@@ -60,7 +60,7 @@
     ++State.Repeats;
   // This flow made no progress since then, so the target served another one.
   const duration Repeated = -State.Since.after(Now);
-  return State.Repeats >= Repeats && Repeated >= Span && Now - TargetProgress < Repeated;
+  return State.Repeats >= Repeats && Repeated >= Span && TargetProgress > Now - Repeated;
 }
 
 } // namespace briarpoint
--- a/tests/data/exchange_support.cpp
+++ b/tests/data/exchange_support.cpp
@@ -206,10 +206,18 @@
 
 data_plane &exchange::plane(std::size_t Index) { return Nodes.at(Index)->Plane; }
 
+member_view *exchange::member(std::size_t Index) {
+  for (member_view &Member : Members) {
+    if (Member.Id == memberId(Index))
+      return &Member;
+  }
+  return nullptr;
+}
+
 std::size_t exchange::ownerAt(const flow_key &Key, std::size_t Place) const {
   const auto Owners = ownership_table::build(Members, ownership_scope::DataCentre, "dc", false);
   const std::uint32_t Slot = ownership_table::slotOf(makeFlowId(Key, Settings.HashSeed));
-  for (std::size_t I = 0; I < Members.size(); ++I) {
+  for (std::size_t I = 0; I < Nodes.size(); ++I) {
     if (memberId(I) == Owners.owners(Slot)[Place])
       return I;
   }
--- a/tests/data/exchange_support.h
+++ b/tests/data/exchange_support.h
@@ -71,6 +71,8 @@
   void advance(duration Time);
 
   data_plane &plane(std::size_t Index);
+  /// The member with this process, or null.
+  member_view *member(std::size_t Index);
   /// Index of the first owner of a flow in the view of the first live balancer.
   std::size_t firstOwner(const flow_key &Key) const;
   std::size_t ownerAt(const flow_key &Key, std::size_t Place) const;
--- /dev/null
+++ b/tests/data/fabric_model_support.cpp
@@ -0,0 +1,276 @@
+#include "tests/data/fabric_model_support.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarpoint::testing {
+
+namespace {
+
+constexpr duration Step = std::chrono::milliseconds(200);
+/// Time after which balancers were told of new owners and have their records (a few flows each).
+constexpr duration Recovery = std::chrono::seconds(40);
+
+} // namespace
+
+fabric_model::fabric_model(std::uint64_t Seed, message_faults Faults)
+    : Net(BalancerCount, {4, 3}, Seed) {
+  Net.Faults = Faults;
+}
+
+std::size_t fabric_model::randomLive() {
+  std::size_t Index = 0;
+  do
+    Index = Net.Random.below(BalancerCount);
+  while (!Net.isLive(Index));
+  return Index;
+}
+
+void fabric_model::openFlow(bool Udp) {
+  caller_flow Flow;
+  Flow.Caller = exchange::callerAddress(static_cast<std::uint16_t>(Flows.size()));
+  Flow.Service = Flows.size() % 2;
+  Flow.Protocol = Udp ? transport::Udp : transport::Tcp;
+  Flow.Next = FirstSequence;
+  Flows.push_back(Flow);
+  sendSetup(Flows.back());
+  process();
+}
+
+void fabric_model::sendSetup(caller_flow &Flow) {
+  Flow.RetryAt = Net.Now + std::chrono::seconds(1);
+  const endpoint Service = exchange::serviceAddress(Flow.Service);
+  Net.forward(randomLive(), Flow.Protocol == transport::Udp
+                                ? datagram(Flow.Caller, Service)
+                                : segment(Flow.Caller, Service, TcpSyn, FirstSequence));
+}
+
+void fabric_model::sendData(caller_flow &Flow) {
+  const endpoint Service = exchange::serviceAddress(Flow.Service);
+  if (Flow.Protocol == transport::Udp) {
+    Net.forward(randomLive(), datagram(Flow.Caller, Service));
+    return;
+  }
+  // Each segment has data that the target acknowledges without data, as an upload.
+  Net.forward(randomLive(), segment(Flow.Caller, Service, TcpAck | TcpPsh, Flow.Next, 1, 10));
+  Flow.Next += 10;
+}
+
+void fabric_model::sendOnFlow(std::size_t Flow) {
+  if (Flows.empty())
+    return;
+  caller_flow &Chosen = Flows[Flow % Flows.size()];
+  if (Chosen.State == caller_state::Open)
+    sendData(Chosen);
+  process();
+}
+
+void fabric_model::closeFlow(std::size_t Flow) {
+  if (Flows.empty())
+    return;
+  caller_flow &Chosen = Flows[Flow % Flows.size()];
+  if (Chosen.State != caller_state::Open || Chosen.Protocol == transport::Udp)
+    return;
+  Chosen.State = caller_state::Closed;
+  Net.forward(randomLive(), segment(Chosen.Caller, exchange::serviceAddress(Chosen.Service),
+                                    TcpFin | TcpAck, Chosen.Next, 1));
+  process();
+}
+
+bool fabric_model::isSettled() const { return Plans.empty() && Net.Now >= NextFaultAt; }
+
+void fabric_model::killBalancers(std::size_t Count) {
+  // Four copies survive three failures; the next ones come when there are four copies again.
+  if (!isSettled())
+    return;
+  for (std::size_t I = 0; I < Count && Net.Members.size() > 4; ++I) {
+    const std::size_t Victim = randomLive();
+    if (Net.member(Victim) == nullptr || Net.member(Victim)->Suspected)
+      continue;
+    Net.kill(Victim);
+    plan(std::chrono::milliseconds(2500), Victim, change::Suspect);
+    plan(std::chrono::seconds(4), Victim, change::Remove);
+  }
+}
+
+void fabric_model::leaveBalancer() {
+  if (!isSettled() || Net.Members.size() <= 4)
+    return;
+  const std::size_t Index = randomLive();
+  Net.member(Index)->State = member_state::Leaving;
+  plan(std::chrono::seconds(15), Index, change::Stop);
+  publishSoon();
+}
+
+void fabric_model::joinBalancer() {
+  if (!isSettled())
+    return;
+  for (std::size_t I = 0; I < BalancerCount; ++I) {
+    if (Net.member(I) != nullptr)
+      continue;
+    Net.restart(I);
+    member_view Member = Net.Members.front();
+    Member.Id = exchange::memberId(I);
+    Member.Data.Address.Bytes[3] = static_cast<std::uint8_t>(I + 1);
+    Member.State = member_state::Joining;
+    Net.Members.push_back(Member);
+    // Views reach the joining balancer first, as it asks for them.
+    Net.publishTo(I);
+    plan(std::chrono::seconds(20), I, change::Ready);
+    publishSoon();
+    return;
+  }
+}
+
+void fabric_model::drainTarget(std::size_t Target) {
+  std::size_t Accepting = 0;
+  const target_view &Chosen = Net.Targets[Target % Net.Targets.size()];
+  for (const target_view &Other : Net.Targets)
+    Accepting += Other.Service == Chosen.Service && Other.AcceptsNew ? 1 : 0;
+  if (Accepting > 1)
+    Net.Targets[Target % Net.Targets.size()].AcceptsNew = false;
+  publishSoon();
+}
+
+void fabric_model::plan(duration Wait, std::size_t Balancer, change Change) {
+  Plans.push_back({Net.Now + Wait, Balancer, Change});
+}
+
+void fabric_model::apply(const planned_change &Planned) {
+  switch (Planned.Change) {
+  case change::Suspect:
+    Net.member(Planned.Balancer)->Suspected = true;
+    break;
+  case change::Ready:
+    Net.member(Planned.Balancer)->State = member_state::Ready;
+    break;
+  case change::Stop:
+    Net.kill(Planned.Balancer);
+    [[fallthrough]];
+  case change::Remove:
+    std::erase_if(Net.Members, [&](const member_view &Member) {
+      return Member.Id == exchange::memberId(Planned.Balancer);
+    });
+    break;
+  }
+  NextFaultAt = Net.Now + Recovery;
+  publishSoon();
+}
+
+void fabric_model::publishSoon() {
+  // Views reach balancers unevenly, within 1 s. One that waits already takes this one too.
+  for (instant &At : PublishAt)
+    At = std::min(At, Net.Now + std::chrono::milliseconds(Net.Random.below(1000)));
+}
+
+void fabric_model::run(duration Time) {
+  const instant End = Net.Now + Time;
+  while (Net.Now < End)
+    step();
+}
+
+void fabric_model::step() {
+  Net.advance(Step);
+  const std::vector<planned_change> All = Plans;
+  std::erase_if(Plans, [&](const planned_change &Planned) { return Planned.At <= Net.Now; });
+  for (const planned_change &Planned : All) {
+    if (Planned.At <= Net.Now)
+      apply(Planned);
+  }
+  for (std::size_t I = 0; I < BalancerCount; ++I) {
+    if (PublishAt[I] <= Net.Now) {
+      PublishAt[I] = Never;
+      Net.publishTo(I);
+    }
+  }
+  for (std::size_t I = 0; I < Flows.size(); ++I) {
+    if (Flows[I].State == caller_state::Opening && Net.Now >= Flows[I].RetryAt)
+      sendSetup(Flows[I]);
+  }
+  process();
+}
+
+void fabric_model::process() {
+  while (!Net.AtTargets.empty() || !Net.AtCaller.empty()) {
+    const std::vector<target_packet> Arrived = std::exchange(Net.AtTargets, {});
+    for (const target_packet &Packet : Arrived)
+      receiveAtTarget(Packet);
+    const std::vector<bytes> Answers = std::exchange(Net.AtCaller, {});
+    for (const bytes &Packet : Answers)
+      receiveAtCaller(Packet);
+  }
+}
+
+fabric_model::caller_flow *fabric_model::flowOf(const endpoint &Caller) {
+  for (caller_flow &Flow : Flows) {
+    if (Flow.Caller == Caller)
+      return &Flow;
+  }
+  return nullptr;
+}
+
+void fabric_model::receiveAtTarget(const target_packet &Arrived) {
+  const packet_view Packet = parsed(Arrived.Packet);
+  caller_flow &Flow = *flowOf(Packet.Source);
+  const endpoint Service = exchange::serviceAddress(Flow.Service);
+  if (Arrived.Service != Net.Services[Flow.Service].Id)
+    violate("a packet reached a target of another service");
+  const bool Foreign = Flow.State == caller_state::Open && Flow.Target != Arrived.Target;
+  if (!Packet.isSetup() && Foreign)
+    violate("a packet of an open flow reached another target");
+  if (!Foreign)
+    ++Flow.Delivered;
+
+  // The sequence number of replies tells the caller the target.
+  const auto Number = static_cast<std::uint32_t>(Arrived.Target);
+  if (!Packet.isTcp())
+    Net.reply(randomLive(), Arrived.Target, datagram(Service, Flow.Caller, Number % 1000 + 1));
+  else if (Packet.isSetup())
+    Net.reply(randomLive(), Arrived.Target,
+              segment(Service, Flow.Caller, TcpSyn | TcpAck, Number, FirstSequence + 1));
+  else if (Packet.has(TcpFin))
+    Net.reply(randomLive(), Arrived.Target,
+              segment(Service, Flow.Caller, TcpFin | TcpAck, Number, Packet.Sequence + 1));
+}
+
+void fabric_model::receiveAtCaller(const bytes &Bytes) {
+  packet_view Packet;
+  if (parsePacket(Bytes, Packet) != parse_error::None) {
+    violate("a caller got an ICMP message");
+    return;
+  }
+  caller_flow &Flow = *flowOf(Packet.Destination);
+  const bool Open = Flow.State == caller_state::Open;
+  target_id From{Packet.Sequence};
+  if (!Packet.isTcp())
+    From = target_id{1000 * (Flow.Service + 1) + Packet.PayloadSize - 1};
+  if (Open && Packet.has(TcpRst))
+    violate("an open flow was reset");
+  if (Open && From != Flow.Target)
+    violate("an open flow got a reply of another target");
+  const bool Accepts = !Packet.isTcp() || (Packet.has(TcpSyn) && Packet.has(TcpAck));
+  if (Flow.State != caller_state::Opening || !Accepts)
+    return;
+  Flow.State = caller_state::Open;
+  Flow.Target = From;
+  Flow.Next = FirstSequence + 1;
+  ++Established;
+  sendData(Flow);
+}
+
+void fabric_model::checkOpenFlows() {
+  Net.Faults = {};
+  run(std::chrono::seconds(60));
+  for (std::size_t I = 0; I < Flows.size(); ++I) {
+    if (Flows[I].State == caller_state::Opening)
+      violate("a flow never opened");
+    if (Flows[I].State != caller_state::Open)
+      continue;
+    const std::size_t Before = Flows[I].Delivered;
+    sendOnFlow(I);
+    if (Flows[I].Delivered != Before + 1)
+      violate("a packet of an open flow did not reach its target");
+  }
+}
+
+} // namespace briarpoint::testing
--- /dev/null
+++ b/tests/data/fabric_model_support.h
@@ -0,0 +1,80 @@
+#ifndef BRIARPOINT_TESTS_DATA_FABRIC_MODEL_SUPPORT_H
+#define BRIARPOINT_TESTS_DATA_FABRIC_MODEL_SUPPORT_H
+
+#include "tests/data/exchange_support.h"
+
+namespace briarpoint::testing {
+
+/// A fabric with callers and targets that follow the protocols, and with members that fail, join
+/// and leave as the control plane would show them, unevenly. It notes every violation of what the
+/// balancers promise.
+class fabric_model {
+public:
+  explicit fabric_model(std::uint64_t Seed, message_faults Faults);
+
+  /// Events of a schedule.
+  void openFlow(bool Udp);
+  void sendOnFlow(std::size_t Flow);
+  void closeFlow(std::size_t Flow);
+  void killBalancers(std::size_t Count);
+  void leaveBalancer();
+  void joinBalancer();
+  void drainTarget(std::size_t Target);
+
+  /// Lets time pass.
+  void run(duration Time);
+
+  /// Ends all faults, waits until views have converged, and notes open flows that don't work.
+  void checkOpenFlows();
+
+  /// What went wrong; empty if nothing did.
+  std::string Violations;
+  std::size_t Established = 0;
+
+private:
+  enum class caller_state : std::uint8_t { Opening, Open, Closed };
+  struct caller_flow {
+    endpoint Caller;
+    std::size_t Service = 0;
+    transport Protocol = transport::Tcp;
+    caller_state State = caller_state::Opening;
+    target_id Target{};
+    std::uint32_t Next = 0;
+    instant RetryAt{};
+    std::size_t Delivered = 0;
+  };
+  enum class change : std::uint8_t { Suspect, Remove, Stop, Ready };
+  struct planned_change {
+    instant At{};
+    std::size_t Balancer = 0;
+    change Change{};
+  };
+
+  static constexpr std::size_t BalancerCount = 8;
+  /// Sequence numbers of SYNs, so that a target's reply tells which flow it belongs to.
+  static constexpr std::uint32_t FirstSequence = 1000;
+
+  void violate(const std::string &Text) { Violations += Text + "\n"; }
+  std::size_t randomLive();
+  void sendSetup(caller_flow &Flow);
+  void sendData(caller_flow &Flow);
+  void process();
+  void receiveAtTarget(const target_packet &Arrived);
+  void receiveAtCaller(const bytes &Packet);
+  caller_flow *flowOf(const endpoint &Caller);
+  void publishSoon();
+  void plan(duration Wait, std::size_t Balancer, change Change);
+  void apply(const planned_change &Planned);
+  void step();
+  bool isSettled() const;
+
+  exchange Net;
+  std::vector<caller_flow> Flows;
+  std::vector<planned_change> Plans;
+  std::vector<instant> PublishAt = std::vector<instant>(BalancerCount, Never);
+  instant NextFaultAt{};
+};
+
+} // namespace briarpoint::testing
+
+#endif // BRIARPOINT_TESTS_DATA_FABRIC_MODEL_SUPPORT_H
--- /dev/null
+++ b/tests/data/fabric_property_test.cpp
@@ -0,0 +1,118 @@
+#include "tests/data/fabric_model_support.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace briarpoint::testing {
+namespace {
+
+enum class event_kind : std::uint8_t {
+  OpenTcp,
+  OpenUdp,
+  Send,
+  Close,
+  Wait,
+  Kill,
+  Leave,
+  Join,
+  Drain
+};
+
+struct event {
+  event_kind Kind{};
+  std::uint32_t Value = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const event &Event) {
+  return Out << static_cast<int>(Event.Kind) << ":" << Event.Value;
+}
+
+rc::Gen<std::vector<event>> schedules() {
+  const auto Kind = rc::gen::weightedElement<event_kind>({{6, event_kind::OpenTcp},
+                                                          {2, event_kind::OpenUdp},
+                                                          {10, event_kind::Send},
+                                                          {2, event_kind::Close},
+                                                          {6, event_kind::Wait},
+                                                          {2, event_kind::Kill},
+                                                          {1, event_kind::Leave},
+                                                          {2, event_kind::Join},
+                                                          {1, event_kind::Drain}});
+  const auto Event = rc::gen::apply(
+      [](event_kind Kind, std::uint32_t Value) {
+        return event{Kind, Value};
+      },
+      Kind, rc::gen::inRange<std::uint32_t>(0, 100));
+  return rc::gen::container<std::vector<event>>(60, Event);
+}
+
+void play(fabric_model &Model, const std::vector<event> &Events, std::size_t MaxKills) {
+  for (const event &Event : Events) {
+    switch (Event.Kind) {
+    case event_kind::OpenTcp:
+      Model.openFlow(false);
+      break;
+    case event_kind::OpenUdp:
+      Model.openFlow(true);
+      break;
+    case event_kind::Send:
+      Model.sendOnFlow(Event.Value);
+      break;
+    case event_kind::Close:
+      Model.closeFlow(Event.Value);
+      break;
+    case event_kind::Wait:
+      Model.run(std::chrono::milliseconds(200) * Event.Value / 2);
+      break;
+    case event_kind::Kill:
+      Model.killBalancers(1 + Event.Value % MaxKills);
+      break;
+    case event_kind::Leave:
+      Model.leaveBalancer();
+      break;
+    case event_kind::Join:
+      Model.joinBalancer();
+      break;
+    case event_kind::Drain:
+      Model.drainTarget(Event.Value);
+      break;
+    }
+    Model.run(std::chrono::milliseconds(200));
+  }
+  Model.checkOpenFlows();
+}
+
+// Guards against flows that break, or are mixed up, when up to three balancers die at once while
+// others join and leave and views differ.
+RC_GTEST_PROP(fabric, OpenFlowsSurviveMembershipChanges, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+  const std::vector<event> Events = *schedules();
+  fabric_model Model(Seed, {});
+  play(Model, Events, 3);
+  RC_LOG() << Model.Violations;
+  RC_ASSERT(Model.Violations.empty());
+}
+
+// Guards against the same when messages between balancers are lost, duplicated, delayed and
+// reordered.
+RC_GTEST_PROP(fabric, OpenFlowsSurviveMessageFaults, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+  const std::vector<event> Events = *schedules();
+  fabric_model Model(Seed, {0.05, 0.05, 0.1});
+  play(Model, Events, 1);
+  RC_LOG() << Model.Violations;
+  RC_ASSERT(Model.Violations.empty());
+}
+
+// Guards against a model that can't see a broken flow: without balancers that share records,
+// flows break.
+TEST(fabric, ModelSeesFlowsThatWork) {
+  fabric_model Model(1, {});
+  for (int I = 0; I < 20; ++I)
+    Model.openFlow(I % 3 == 0);
+  Model.checkOpenFlows();
+  EXPECT_EQ(Model.Violations, "");
+  EXPECT_EQ(Model.Established, 20U);
+}
+
+} // namespace
+} // namespace briarpoint::testing
