Test membership changes, lookups and the record transfer

Contract tests for failing owners, lookups, convergence, old views, the background transfer and its budget, and the counts of open flows.

--- /dev/null
+++ b/tests/data/membership_test.cpp
@@ -0,0 +1,296 @@
+#include "tests/data/exchange_support.h"
+
+#include <gtest/gtest.h>
+
+namespace briarpoint::testing {
+namespace {
+
+constexpr std::uint32_t Isn = 1000;
+
+/// A fabric of six balancers with one established TCP flow and one UDP flow.
+class fabric_with_flows : public ::testing::Test {
+protected:
+  void SetUp() override {
+    open(TcpKey, segment(Caller, Service, TcpSyn, Isn),
+         segment(Service, Caller, TcpSyn | TcpAck, 5000, Isn + 1));
+    TcpTarget = LastTarget;
+    open(UdpKey, datagram(Caller, Service), datagram(Service, Caller));
+    UdpTarget = LastTarget;
+    Net.RecordsSent = 0;
+  }
+
+  void open(const flow_key &Key, const bytes &First, const bytes &Answer) {
+    Net.forward(Net.firstOwner(Key), First);
+    ASSERT_EQ(Net.AtTargets.size(), 1U);
+    LastTarget = Net.AtTargets[0].Target;
+    Net.reply(0, LastTarget, Answer);
+    ASSERT_EQ(Net.AtCaller.size(), 1U);
+    Net.AtTargets.clear();
+    Net.AtCaller.clear();
+  }
+
+  /// Sends a packet of a flow and returns the target that it reached; NoTarget if none.
+  target_id sendOn(const flow_key &Key, std::size_t At) {
+    Net.AtTargets.clear();
+    Net.forward(At, Key.Protocol == transport::Udp
+                        ? datagram(Caller, Service)
+                        : segment(Caller, Service, TcpAck, Isn + 1, 5001, 20));
+    return Net.AtTargets.empty() ? NoTarget : Net.AtTargets.back().Target;
+  }
+  target_id targetOf(const flow_key &Key) const { return Key == TcpKey ? TcpTarget : UdpTarget; }
+
+  void remove(std::size_t Index) {
+    Net.kill(Index);
+    std::erase_if(Net.Members, [&](const member_view &Member) {
+      return Member.Id == exchange::memberId(Index);
+    });
+  }
+
+  exchange Net{6};
+  endpoint Caller = exchange::callerAddress(1);
+  endpoint Service = exchange::serviceAddress(0);
+  flow_key TcpKey{Caller, Service, transport::Tcp};
+  flow_key UdpKey{Caller, Service, transport::Udp};
+  target_id TcpTarget{};
+  target_id UdpTarget{};
+  target_id LastTarget{};
+};
+
+struct failure_case {
+  const char *Name;
+  std::vector<std::size_t> Places;
+  transport Protocol;
+};
+
+std::ostream &operator<<(std::ostream &Out, const failure_case &Case) { return Out << Case.Name; }
+
+class failing_owners : public fabric_with_flows,
+                       public ::testing::WithParamInterface<failure_case> {
+protected:
+  void expectThatTheFlowWorks(const flow_key &Key) {
+    for (std::size_t At = 0; At < 6; ++At) {
+      if (Net.isLive(At)) {
+        EXPECT_EQ(sendOn(Key, At), targetOf(Key));
+      }
+    }
+  }
+};
+
+// Guards against a flow that breaks when any up to three of its owners are lost, first while they
+// are suspected only, then when the owners were chosen anew.
+TEST_P(failing_owners, DoNotBreakTheFlow) {
+  const flow_key Key = GetParam().Protocol == transport::Tcp ? TcpKey : UdpKey;
+  std::vector<std::size_t> Dead;
+  for (const std::size_t Place : GetParam().Places)
+    Dead.push_back(Net.ownerAt(Key, Place));
+  for (const std::size_t Index : Dead) {
+    Net.kill(Index);
+    Net.member(Index)->Suspected = true;
+  }
+  Net.publish();
+  expectThatTheFlowWorks(Key);
+  for (const std::size_t Index : Dead)
+    remove(Index);
+  Net.publish();
+  expectThatTheFlowWorks(Key);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Sets, failing_owners,
+    ::testing::Values(failure_case{"first", {0}, transport::Tcp},
+                      failure_case{"second", {1}, transport::Tcp},
+                      failure_case{"first two", {0, 1}, transport::Tcp},
+                      failure_case{"first three", {0, 1, 2}, transport::Tcp},
+                      failure_case{"last three", {1, 2, 3}, transport::Tcp},
+                      failure_case{"first, UDP", {0}, transport::Udp},
+                      failure_case{"first three, UDP", {0, 1, 2}, transport::Udp},
+                      failure_case{"last three, UDP", {1, 2, 3}, transport::Udp}));
+
+/// All owners of the flow but the last one lost their records.
+class fabric_with_one_copy : public fabric_with_flows {
+protected:
+  void SetUp() override {
+    fabric_with_flows::SetUp();
+    Holder = Net.ownerAt(TcpKey, 3);
+    for (std::size_t Place = 0; Place < 3; ++Place)
+      Net.plane(Net.ownerAt(TcpKey, Place)).reset(Net.Now);
+  }
+
+  std::size_t Holder = 0;
+};
+
+// Guards against a lookup that stops before the last holder, and against one for each packet.
+TEST_F(fabric_with_one_copy, LookupFindsTheLastCopyAndRestoresTheOthers) {
+  EXPECT_EQ(sendOn(TcpKey, Net.firstOwner(TcpKey)), TcpTarget);
+  for (std::size_t Place = 0; Place < OwnerCount; ++Place)
+    EXPECT_NE(Net.recordAt(Net.ownerAt(TcpKey, Place), TcpKey), nullptr);
+  Net.kill(Holder);
+  EXPECT_EQ(sendOn(TcpKey, Net.firstOwner(TcpKey)), TcpTarget);
+}
+
+// Guards against guessing a target while a balancer that may hold the record can't be asked, and
+// against asking the caller to wait for ever.
+TEST_F(fabric_with_one_copy, UnknownFlowIsDroppedUntilTheFabricHasConverged) {
+  Net.kill(Holder);
+  Net.member(Holder)->Suspected = true;
+  Net.publish();
+  const std::size_t Owner = Net.firstOwner(TcpKey);
+  const std::uint64_t Before = Net.dropped(drop_reason::UnknownFlow);
+  EXPECT_EQ(sendOn(TcpKey, Owner), NoTarget);
+  // Suspected, although the time after the reset has passed.
+  Net.advance(Net.Settings.Convergence);
+  EXPECT_EQ(sendOn(TcpKey, Owner), NoTarget);
+  // Removed, so the owners change.
+  remove(Holder);
+  Net.publish();
+  EXPECT_EQ(sendOn(TcpKey, Owner), NoTarget);
+  // A data centre can't be reached.
+  Net.AllReachable = false;
+  Net.publish();
+  Net.advance(Net.Settings.Convergence);
+  EXPECT_EQ(sendOn(TcpKey, Owner), NoTarget);
+  EXPECT_EQ(Net.dropped(drop_reason::UnknownFlow), Before + 4);
+  // Now the default target tells the caller by a RST; no record is made of it.
+  Net.AllReachable = true;
+  Net.publish();
+  EXPECT_NE(sendOn(TcpKey, Owner), NoTarget);
+  EXPECT_EQ(Net.recordAt(Owner, TcpKey), nullptr);
+}
+
+// Guards against forgetting former owners too early: none of the present owners has the record,
+// but a balancer that is leaving does.
+TEST_F(fabric_with_flows, FormerOwnersAreAskedWhileViewsConverge) {
+  const std::size_t Leaving = Net.firstOwner(TcpKey);
+  Net.member(Leaving)->State = member_state::Leaving;
+  Net.publish();
+  for (std::size_t Place = 0; Place < OwnerCount; ++Place)
+    Net.plane(Net.ownerAt(TcpKey, Place)).reset(Net.Now);
+  EXPECT_EQ(sendOn(TcpKey, Net.firstOwner(TcpKey)), TcpTarget);
+}
+
+// Guards against a packet that is lost or goes round for ever when the ingress has an old view:
+// a former owner acts on the record that it holds, and one without record hands the packet on.
+TEST_F(fabric_with_flows, OldViewOfTheIngressCostsOneHop) {
+  const std::size_t Former = Net.firstOwner(TcpKey);
+  const std::size_t Ingress = Net.ownerAt(TcpKey, 1) == 0 ? 1 : 0;
+  Net.member(Former)->State = member_state::Leaving;
+  for (std::size_t I = 0; I < 6; ++I) {
+    if (I != Ingress)
+      Net.publishTo(I);
+  }
+  EXPECT_EQ(sendOn(TcpKey, Ingress), TcpTarget);
+  Net.plane(Former).reset(Net.Now);
+  EXPECT_EQ(sendOn(TcpKey, Ingress), TcpTarget);
+  EXPECT_EQ(Net.dropped(drop_reason::TooManyHops), 0U);
+}
+
+/// Hands a packet over as if the sender named the receiver as owner, again and again.
+TEST_F(fabric_with_flows, PacketThatIsHandedOverTooOftenIsDropped) {
+  const flow_key Unknown{exchange::callerAddress(500), Service, transport::Tcp};
+  handover Handover;
+  Handover.Hops = MaxHandovers;
+  const std::size_t NotOwner = Net.firstOwner(Unknown) == 0 ? 1 : 0;
+  Net.plane(NotOwner).handleHandover(Handover, segment(Unknown.Caller, Service, TcpSyn, 1),
+                                     Net.Now);
+  Net.settle();
+  EXPECT_EQ(Net.dropped(drop_reason::TooManyHops), 1U);
+  EXPECT_TRUE(Net.AtTargets.empty());
+}
+
+// Guards against idle flows that have fewer copies after each change: no packet comes, so only the
+// background transfer can restore the fourth copy.
+TEST_F(fabric_with_flows, IdleRecordsGetTheirFourthCopyInTheBackground) {
+  remove(Net.ownerAt(TcpKey, 2));
+  Net.publish();
+  const std::size_t New = Net.ownerAt(TcpKey, 3);
+  EXPECT_EQ(Net.recordAt(New, TcpKey), nullptr);
+  Net.advance(std::chrono::seconds(5));
+  ASSERT_NE(Net.recordAt(New, TcpKey), nullptr);
+  EXPECT_EQ(Net.recordAt(New, TcpKey)->Target, TcpTarget);
+}
+
+/// Many idle flows, so that a transfer takes a while.
+class fabric_with_many_flows : public ::testing::Test {
+protected:
+  static constexpr std::uint16_t FlowCount = 1000;
+
+  void SetUp() override {
+    for (std::uint16_t I = 0; I < FlowCount; ++I) {
+      const endpoint Caller = exchange::callerAddress(I);
+      Net.forward(I % 6, segment(Caller, Service, TcpSyn, Isn));
+      Net.reply(I % 6, Net.AtTargets.back().Target,
+                segment(Service, Caller, TcpSyn | TcpAck, 5000, Isn + 1));
+    }
+    Net.RecordsSent = 0;
+  }
+
+  /// Removes the last balancer and starts it anew, in state Joining.
+  void startJoining() {
+    Net.restart(5);
+    Net.Members[5].State = member_state::Joining;
+    Net.publish();
+  }
+
+  exchange Net{6};
+  endpoint Service = exchange::serviceAddress(0);
+};
+
+// Guards against a joining balancer that becomes ready without the records that it will own.
+TEST_F(fabric_with_many_flows, JoiningBalancerGetsAllItsRecordsBeforeTheEndIsAnnounced) {
+  startJoining();
+  for (int I = 0; I < 100 && Net.Finished.size() < 5; ++I)
+    Net.advance(std::chrono::seconds(1));
+  ASSERT_GE(Net.Finished.size(), 5U);
+  const ownership_table Next =
+      ownership_table::build(Net.Members, ownership_scope::DataCentre, "dc", true);
+  std::size_t Expected = 0;
+  for (std::uint16_t I = 0; I < FlowCount; ++I) {
+    const flow_id Id = makeFlowId({exchange::callerAddress(I), Service, transport::Tcp}, 0);
+    Expected += contains(Next.owners(ownership_table::slotOf(Id)), exchange::memberId(5)) ? 1 : 0;
+  }
+  ASSERT_GT(Expected, 300U);
+  EXPECT_GE(Net.plane(5).counters().Records, Expected);
+}
+
+// Guards against control traffic above the budget (56 bytes a record), and against records that
+// are sent again when the balancer becomes ready.
+TEST_F(fabric_with_many_flows, TransferKeepsItsBudgetAndSendsEachRecordOnce) {
+  startJoining();
+  Net.advance(std::chrono::seconds(2));
+  const double Budget = 5 * 3.0 * Net.Settings.TransferBytesPerSecond;
+  EXPECT_LE(static_cast<double>(Net.RecordsSent) * 56, Budget);
+  Net.advance(std::chrono::seconds(60));
+  const std::size_t SentBefore = Net.RecordsSent;
+  Net.Members[5].State = member_state::Ready;
+  Net.publish();
+  Net.advance(std::chrono::seconds(60));
+  EXPECT_EQ(Net.RecordsSent, SentBefore);
+}
+
+// Guards against counting flows twice or never when the first owner changes: the counts of all
+// balancers together are the number of open flows.
+TEST_F(fabric_with_many_flows, EachOpenFlowCountsAtItsFirstOwnerOnly) {
+  const auto Sum = [&] {
+    Net.Observations.clear();
+    Net.advance(Net.Settings.ReportInterval);
+    std::size_t Flows = 0;
+    for (const target_observation &Seen : Net.Observations)
+      Flows += Seen.OpenFlows;
+    return Flows;
+  };
+  EXPECT_EQ(Sum(), FlowCount);
+  std::size_t Owned = 0;
+  for (std::size_t I = 0; I < 6; ++I)
+    Owned += Net.plane(I).counters().OwnedRecords;
+  EXPECT_EQ(Owned, FlowCount);
+  Net.kill(2);
+  Net.Members[2].Suspected = true;
+  Net.publish();
+  EXPECT_EQ(Sum(), FlowCount);
+  Net.Members.erase(Net.Members.begin() + 2);
+  Net.publish();
+  EXPECT_EQ(Sum(), FlowCount);
+}
+
+} // namespace
+} // namespace briarpoint::testing
