--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <csignal>
 #include <stdexcept>
 
 namespace briarpoint {
@@ -16,6 +17,9 @@
 } // namespace
 
 event_loop::event_loop() : Base(event_base_new()) {
+  // libevent writes to sockets without MSG_NOSIGNAL. A caller that closes its connection must not
+  // end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   if (Base == nullptr)
     throw std::runtime_error("event_base_new failed");
 }
