--- a/src/daemon/control_task.cpp
+++ b/src/daemon/control_task.cpp
@@ -121,17 +121,18 @@
 }
 
 void control_task::applySettings(const settings &New, std::uint64_t Incarnation) {
-  Context.Log.setLevel(New.LogLevel);
-  Operators.setToken(New.OperatorToken.reveal());
-  if (keysOf(New) != keysOf(Settings)) {
-    Peers.setAuthenticator(authenticatorOf(New, Incarnation));
-    Exchange.setKeys(keysOf(New));
-  }
-  OperatorServer.setLimits(operatorLimits(New.Limits));
+  const bool KeysChanged = keysOf(New) != keysOf(Settings);
   Settings.Key = New.Key;
   Settings.PreviousKey = New.PreviousKey;
   Settings.OperatorToken = New.OperatorToken;
   Settings.ShutdownDeadline = New.ShutdownDeadline;
+  Context.Log.setLevel(New.LogLevel);
+  Operators.setToken(New.OperatorToken.reveal());
+  OperatorServer.setLimits(operatorLimits(New.Limits));
+  if (KeysChanged) {
+    Peers.setAuthenticator(authenticatorOf(Settings, Incarnation));
+    Exchange.setKeys(keysOf(Settings));
+  }
 }
 
 void control_task::sendCommand(packet_command Command) {
--- a/src/daemon/control_task.h
+++ b/src/daemon/control_task.h
@@ -41,6 +41,9 @@
   /// Starts to join. The loop must run from now on.
   void start();
 
+  /// Runs what is due. The loop calls it every 50 ms after start().
+  void tick();
+
   /// Executes a patch, for example the initial configuration of a process without a platform.
   void submitPatch(const patch &Patch, std::function<void(const patch_outcome &)> Done) override;
 
@@ -81,7 +84,6 @@
   void noteRefused(const std::string &Path, int Status) override;
   void noteWrite(const std::string &Path) override;
 
-  void tick();
   void handleReports();
   void handleReport(const packet_report &Report);
   void noteConfiguration();
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,181 @@
+#include "daemon/daemon.h"
+
+#include "base/findings_error.h"
+#include "base/seeded_random.h"
+#include "config/config_text.h"
+#include "daemon/control_task.h"
+#include "daemon/packet_task.h"
+#include "platform/http_object_store.h"
+#include "platform/memory_object_store.h"
+
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace briarpoint {
+
+namespace {
+
+/// How often the store in memory answers its calls.
+constexpr duration MemoryStoreInterval = std::chrono::milliseconds(20);
+
+std::string readFile(const std::string &File) {
+  std::ifstream Stream(File, std::ios::binary);
+  std::ostringstream Text;
+  if (!Stream || !(Text << Stream.rdbuf()))
+    throw std::runtime_error("can't read " + File);
+  return Text.str();
+}
+
+/// Incarnations and message sequences of one name must rise, also over restarts.
+std::uint64_t newIncarnation() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
+std::uint64_t randomSeed() {
+  std::random_device Device;
+  return static_cast<std::uint64_t>(Device()) << 32U | Device();
+}
+
+packet_task_settings packetSettings(const settings &Settings) {
+  packet_task_settings Result;
+  Result.Self = makeMemberId(Settings.Name);
+  Result.Data = Settings.Data;
+  Result.Fabric = Settings.Fabric;
+  Result.OuterSources = Settings.OuterSources;
+  Result.DataPlane = Settings.DataPlane;
+  return Result;
+}
+
+/// Returns a patch that adds all services of a configuration to the empty one.
+patch initialPatch(const configuration &Configuration) {
+  patch Patch;
+  Patch.Id = "initial";
+  for (const service_config &Service : Configuration.Services)
+    Patch.Operations.emplace_back(put_service{Service});
+  return Patch;
+}
+
+http_object_store_settings storeSettings(const settings &Settings) {
+  http_object_store_settings Result;
+  Result.Server = *Settings.Platform;
+  Result.Token = Settings.PlatformToken;
+  Result.Timeout = Settings.Limits.PlatformTimeout;
+  Result.WatchTime = Settings.Limits.PlatformWatch;
+  return Result;
+}
+
+/// A thread that ends a packet task when it goes out of scope.
+class packet_thread {
+public:
+  packet_thread(packet_task &Task, packet_commands &Commands)
+      : Commands(Commands), Thread([&Task] { Task.run(); }) {}
+  ~packet_thread() {
+    // The mailbox may be full for a moment.
+    while (!Commands.push(end_task{}))
+      std::this_thread::yield();
+    Thread.join();
+  }
+  packet_thread(const packet_thread &) = delete;
+  packet_thread &operator=(const packet_thread &) = delete;
+
+private:
+  packet_commands &Commands;
+  std::thread Thread;
+};
+
+} // namespace
+
+settings readSettings(const std::string &File) { return parseSettings(readFile(File), File); }
+
+/// Everything that run() builds, in the order of construction.
+struct daemon::parts {
+  parts(const settings &Settings, event_log &Log, time_source &Clock)
+      : Random(randomSeed()), PacketRandom(randomSeed()), Store(makeStore(Settings)),
+        Packets(packetSettings(Settings), Clock, PacketRandom, Commands, Reports),
+        Control(Settings, newIncarnation(), {Loop, Clock, Random, *Store, Log, Commands, Reports}) {
+  }
+
+  std::unique_ptr<object_store> makeStore(const settings &Settings) {
+    if (Settings.Platform)
+      return std::make_unique<http_object_store>(Loop.base(), storeSettings(Settings));
+    auto Result = std::make_unique<memory_object_store>();
+    Memory = Result.get();
+    return Result;
+  }
+
+  event_loop Loop;
+  seeded_random Random;
+  seeded_random PacketRandom;
+  packet_commands Commands;
+  packet_reports Reports;
+  /// Set if the store is in memory.
+  memory_object_store *Memory = nullptr;
+  std::unique_ptr<object_store> Store;
+  packet_task Packets;
+  control_task Control;
+  bool Stopping = false;
+};
+
+daemon::daemon(std::string File, settings AllSettings, event_log &Log, time_source &Clock)
+    : File(std::move(File)), Settings(std::move(AllSettings)), Log(Log), Clock(Clock) {}
+
+void daemon::run() {
+  Log.setLevel(Settings.LogLevel);
+  parts Parts(Settings, Log, Clock);
+  std::optional<patch> Initial;
+  if (!Settings.Platform)
+    Initial = initialPatch(
+        parseConfigurationText(readFile(Settings.ConfigurationFile), Settings.ConfigurationFile));
+
+  for (const int Signal : {SIGTERM, SIGINT})
+    Parts.Loop.onSignal(Signal, [&] { stop(Parts); });
+  Parts.Loop.onSignal(SIGHUP, [&] { reload(Parts); });
+  Parts.Control.onLeave([&] { stop(Parts); });
+  if (Parts.Memory != nullptr)
+    Parts.Loop.onInterval(MemoryStoreInterval, [&] { Parts.Memory->run(Clock.now()); });
+
+  const packet_thread Thread(Parts.Packets, Parts.Commands);
+  Parts.Control.start();
+  if (Initial)
+    Parts.Control.submitPatch(*Initial, [](const patch_outcome &) {});
+  Log.write(log_event::ProcessStarted, {{"name", Settings.Name},
+                                        {"data", toString(Settings.Data)},
+                                        {"control", toString(Settings.Control)},
+                                        {"operator", toString(Settings.Operator)}});
+  Parts.Loop.run();
+  Log.write(log_event::ProcessEnded);
+}
+
+void daemon::stop(parts &Parts) {
+  if (std::exchange(Parts.Stopping, true)) {
+    Parts.Loop.stop();
+    return;
+  }
+  Parts.Control.beginStop([&Parts] { Parts.Loop.stop(); });
+}
+
+void daemon::reload(parts &Parts) {
+  try {
+    settings New = readSettings(File);
+    Parts.Control.applySettings(New, newIncarnation());
+    Log.write(log_event::SettingsReloaded, {{"file", File}});
+    for (const finding &Finding : findRestartChanges(Settings, New, File))
+      Log.write(log_event::RestartNeeded, {{"finding", toString(Finding)}});
+    // What needs a restart keeps its old value, so that the next reload reports it again.
+    Settings.Limits = New.Limits;
+    Settings.LogLevel = New.LogLevel;
+  } catch (const findings_error &Error) {
+    for (const finding &Finding : Error.findings())
+      Log.write(log_event::SettingsRejected, {{"finding", toString(Finding)}});
+  } catch (const std::exception &Error) {
+    Log.write(log_event::SettingsRejected, {{"finding", Error.what()}});
+  }
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,39 @@
+#ifndef BRIARPOINT_DAEMON_DAEMON_H
+#define BRIARPOINT_DAEMON_DAEMON_H
+
+#include "config/settings.h"
+#include "daemon/event_log.h"
+
+#include <string>
+
+namespace briarpoint {
+
+/// Reads and parses a settings file.
+/// \throws findings_error with all findings; std::runtime_error if the file can't be read.
+settings readSettings(const std::string &File);
+
+/// The process: settings, object store, both tasks with their threads, and signals.
+class daemon {
+public:
+  /// \p File is read again at SIGHUP.
+  daemon(std::string File, settings Settings, event_log &Log, time_source &Clock);
+
+  /// Serves until SIGTERM or SIGINT and a graceful stop; a second signal ends it at once.
+  /// \throws std::exception if the daemon can't start.
+  void run();
+
+private:
+  struct parts;
+
+  void reload(parts &Parts);
+  void stop(parts &Parts);
+
+  std::string File;
+  settings Settings;
+  event_log &Log;
+  time_source &Clock;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_DAEMON_DAEMON_H
--- a/src/daemon/log_event.cpp
+++ b/src/daemon/log_event.cpp
@@ -20,6 +20,8 @@
     log_definition{log_event::SettingsRejected, "settings_rejected", Error, "settings are invalid"},
     log_definition{log_event::SettingsReloaded, "settings_reloaded", Info, "settings read again"},
     log_definition{log_event::StartFailed, "start_failed", Error, "daemon could not start"},
+    log_definition{log_event::RestartNeeded, "restart_needed", Warning,
+                   "a changed setting takes effect at a restart only"},
     log_definition{log_event::BalancerReady, "balancer_ready", Info,
                    "balancer owns its share of the flows"},
     log_definition{log_event::MemberChanged, "member_changed", Info, "member changed its state"},
--- a/src/daemon/log_event.h
+++ b/src/daemon/log_event.h
@@ -19,6 +19,7 @@
   SettingsRejected = 1005,
   SettingsReloaded = 1006,
   StartFailed = 1007,
+  RestartNeeded = 1008,
   BalancerReady = 1101,
   MemberChanged = 1102,
   ProcessPaused = 1103,
--- a/standins/traffic_main.cpp
+++ b/standins/traffic_main.cpp
@@ -99,8 +99,8 @@
       cxxopts::value<int>()->default_value("10"))(
       "requests", "Requests per flow", cxxopts::value<std::uint32_t>()->default_value("5"))(
       "pause-ms", "Pause between requests", cxxopts::value<int>()->default_value("500"))(
-      "drained", "Target that doesn't count for the imbalance",
-      cxxopts::value<std::string>()->default_value(""))(
+      "drained", "Targets that don't count for the imbalance, with commas",
+      cxxopts::value<std::vector<std::string>>()->default_value(""))(
       "seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"))("help", "Help");
   const cxxopts::ParseResult Parsed = Options.parse(ArgumentCount, Arguments);
   if (Parsed.count("help") != 0) {
@@ -118,7 +118,7 @@
   Settings.OpenOver = std::chrono::seconds(Parsed["open-over"].as<int>());
   Settings.Requests = Parsed["requests"].as<std::uint32_t>();
   Settings.Pause = std::chrono::milliseconds(Parsed["pause-ms"].as<int>());
-  Settings.Drained = {Parsed["drained"].as<std::string>()};
+  Settings.Drained = Parsed["drained"].as<std::vector<std::string>>();
   Settings.Seed = Parsed["seed"].as<std::uint64_t>();
   const traffic_result Result =
       traffic_program(Settings, requireEndpoint(Parsed["fabric"].as<std::string>()),
--- /dev/null
+++ b/tests/daemon/control_support.h
@@ -0,0 +1,72 @@
+#ifndef BRIARPOINT_TESTS_DAEMON_CONTROL_SUPPORT_H
+#define BRIARPOINT_TESTS_DAEMON_CONTROL_SUPPORT_H
+
+#include "base/seeded_random.h"
+#include "daemon/control_task.h"
+#include "platform/memory_object_store.h"
+#include "tests/daemon/fabric_support.h"
+
+#include <sstream>
+
+namespace briarpoint {
+
+/// Loopback endpoint that no other test process uses: the address contains the process id.
+endpoint testEndpoint(std::uint8_t Host, std::uint16_t Port);
+
+/// Calls that other parts of a test need again and again.
+class test_http {
+public:
+  explicit test_http(event_loop &Loop) : Client(Loop) {}
+
+  /// Starts a call; the response is in Result when Done is set.
+  struct pending {
+    bool Done = false;
+    std::optional<http_response> Result;
+  };
+  std::shared_ptr<pending> send(const endpoint &Server, const std::string &Method,
+                                const std::string &Target, const std::string &Body = "");
+
+private:
+  http_client Client;
+};
+
+/// One balancer's control task. The test plays its packet task.
+struct control_fixture {
+  control_fixture(std::uint8_t Host, const settings &Settings, event_loop &Loop, time_source &Clock,
+                  object_store &Store);
+
+  packet_commands Commands;
+  packet_reports Reports;
+  seeded_random Random;
+  std::ostringstream LogText;
+  event_log Log;
+  control_task Task;
+};
+
+/// Several control tasks that share a platform in memory, with a clock that the test moves.
+class control_group {
+public:
+  explicit control_group(std::size_t Count);
+
+  static settings settingsOf(std::uint8_t Host);
+
+  /// Moves the clock by 50 ms and handles what is due and has arrived.
+  void round();
+  /// Runs rounds until \p Condition holds; returns false if it doesn't within two minutes of the
+  /// moved clock.
+  bool runUntil(const std::function<bool()> &Condition);
+  bool allReady();
+  /// Sends a request to the operators' interface of a task and returns the response.
+  http_response call(std::size_t Index, const std::string &Method, const std::string &Target,
+                     const std::string &Body = "");
+
+  event_loop Loop;
+  manual_time_source Clock;
+  memory_object_store Store;
+  test_http Http{Loop};
+  std::deque<control_fixture> Tasks;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_TESTS_DAEMON_CONTROL_SUPPORT_H
