--- /dev/null
+++ b/measure/event_queue.h
@@ -0,0 +1,72 @@
+#ifndef BRIARPOINT_MEASURE_EVENT_QUEUE_H
+#define BRIARPOINT_MEASURE_EVENT_QUEUE_H
+
+#include "base/instant.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace briarpoint::measure {
+
+/// What an event is about; Subject is the index of the packet, flow or closure.
+enum class event_kind : std::uint8_t { Packet, FlowTimer, Closure };
+
+/// Binary heap of small events. Events of the same time come out in the order they were added.
+class event_queue {
+public:
+  struct event {
+    instant At;
+    std::uint64_t Order = 0;
+    std::uint32_t Subject = 0;
+    event_kind Kind = event_kind::Packet;
+  };
+
+  void add(instant At, event_kind Kind, std::uint32_t Subject) {
+    Heap.push_back({At, Added++, Subject, Kind});
+    std::push_heap(Heap.begin(), Heap.end(), later);
+  }
+
+  /// Adds a rare event.
+  void call(instant At, std::function<void()> Closure) {
+    if (Free.empty()) {
+      Free.push_back(static_cast<std::uint32_t>(Closures.size()));
+      Closures.emplace_back();
+    }
+    const std::uint32_t Index = Free.back();
+    Free.pop_back();
+    Closures[Index] = std::move(Closure);
+    add(At, event_kind::Closure, Index);
+  }
+
+  /// Returns whether an event is due until \p End.
+  bool due(instant End) const { return !Heap.empty() && Heap.front().At <= End; }
+
+  event take() {
+    std::pop_heap(Heap.begin(), Heap.end(), later);
+    const event Event = Heap.back();
+    Heap.pop_back();
+    return Event;
+  }
+
+  void runClosure(std::uint32_t Index) {
+    const std::function<void()> Closure = std::move(Closures[Index]);
+    Free.push_back(Index);
+    Closure();
+  }
+
+private:
+  static bool later(const event &A, const event &B) {
+    return A.At != B.At ? A.At > B.At : A.Order > B.Order;
+  }
+
+  std::vector<event> Heap;
+  std::uint64_t Added = 0;
+  std::vector<std::function<void()>> Closures;
+  std::vector<std::uint32_t> Free;
+};
+
+} // namespace briarpoint::measure
+
+#endif // BRIARPOINT_MEASURE_EVENT_QUEUE_H
--- /dev/null
+++ b/measure/fixture.cpp
@@ -0,0 +1,294 @@
+#include "measure/fixture.h"
+
+#include "measure/balancer.h"
+#include "peer/peer_codec.h"
+
+#include <algorithm>
+
+namespace briarpoint::measure {
+
+namespace {
+
+constexpr duration TickInterval = std::chrono::milliseconds(100);
+
+endpoint makeEndpoint(std::size_t Balancer, std::uint16_t Port) {
+  endpoint Endpoint;
+  Endpoint.Address.Bytes = {172, 31, static_cast<std::uint8_t>(Balancer >> 8U),
+                            static_cast<std::uint8_t>(Balancer)};
+  Endpoint.Port = Port;
+  return Endpoint;
+}
+
+} // namespace
+
+fixture::fixture(const fixture_settings &AllSettings, fixture_listener &Listener)
+    : Settings(AllSettings), Listener(Listener), Random(AllSettings.Seed),
+      PeerLoss(AllSettings.PeerLoss) {
+  for (std::size_t I = 0; I < DataCentreCount * Settings.BalancersPerDataCentre; ++I)
+    addBalancer(I % DataCentreCount);
+}
+
+fixture::~fixture() = default;
+
+data_plane_settings fixture::dataSettings() const {
+  data_plane_settings Data;
+  Data.HashSeed = mixHash(Settings.Seed, 1);
+  Data.MaxFlows = 1'000'000;
+  return Data;
+}
+
+void fixture::runUntil(instant End) {
+  while (Queue.due(End)) {
+    const event_queue::event Event = Queue.take();
+    Now = Event.At;
+    EventHash = mixHash(EventHash + Event.Subject, Now.time_since_epoch().count());
+    switch (Event.Kind) {
+    case event_kind::Packet:
+      deliver(Event.Subject);
+      break;
+    case event_kind::FlowTimer:
+      Listener.flowTimer(Event.Subject);
+      break;
+    case event_kind::Closure:
+      Queue.runClosure(Event.Subject);
+      break;
+    }
+  }
+  Now = End;
+}
+
+bool fixture::runUntil(instant Limit, const std::function<bool()> &Done) {
+  while (!Done()) {
+    if (Now >= Limit)
+      return false;
+    runUntil(std::min(Limit, Now + TickInterval));
+  }
+  return true;
+}
+
+std::size_t fixture::addBalancer(std::size_t DataCentre) {
+  Balancers.emplace_back();
+  Accounts.emplace_back();
+  DataCentreOf.push_back(DataCentre);
+  start(Balancers.size() - 1);
+  return Balancers.size() - 1;
+}
+
+void fixture::start(std::size_t Balancer) {
+  control_plane_settings Control;
+  Control.Scope = Settings.Scope;
+  member_info &Self = Control.Self;
+  Self.Name = "balancer-" + std::to_string(Balancer);
+  Self.Id = makeMemberId(Self.Name);
+  Self.DataCentre = Settings.Deployment.DataCentres[DataCentreOf[Balancer]];
+  Self.Data = makeEndpoint(Balancer, 6081);
+  Self.Control = makeEndpoint(Balancer, 7400);
+  Self.Rpc = makeEndpoint(Balancer, 7401);
+  Self.Incarnation = ++Incarnations * 1000;
+  for (std::size_t I = 0; I < 3; ++I)
+    Control.Seeds.push_back(makeEndpoint(I, 7400));
+  Index[Self.Id] = Balancer;
+  ControlIndex[Self.Control] = Balancer;
+  Platform.Instances.push_back({Self.Name, toString(Self.Control), false});
+  Balancers[Balancer] = std::make_unique<measure::balancer>(*this, Balancer, Control);
+  Balancers[Balancer]->control().start(Now);
+  // Processes don't tick in step.
+  const duration Offset{Random.below(TickInterval.count())};
+  Queue.call(Now + Offset, [this, Balancer, I = Self.Incarnation] { tick(Balancer, I); });
+  Queue.call(Now + Settings.SprayLag, [this] { updateSpray(); });
+}
+
+void fixture::tick(std::size_t Balancer, std::uint64_t Incarnation) {
+  measure::balancer *Process = find(Balancer);
+  if (Process == nullptr || Process->self().Incarnation != Incarnation)
+    return;
+  Accounts[Balancer].Total.Seconds += std::chrono::duration<double>(TickInterval).count();
+  if (!Process->Paused)
+    Process->tick();
+  // A leaving process ends when its peers have taken over.
+  if (Process->Leaving && Process->control().mayEnd(Now)) {
+    crash(Balancer);
+    return;
+  }
+  Queue.call(Now + TickInterval, [this, Balancer, Incarnation] { tick(Balancer, Incarnation); });
+}
+
+void fixture::crash(std::size_t Balancer) {
+  std::erase_if(Platform.Instances, [&](const instance_entry &Entry) {
+    return Entry.Name == Balancers[Balancer]->self().Name;
+  });
+  Balancers[Balancer].reset();
+  Queue.call(Now + Settings.SprayLag, [this] { updateSpray(); });
+}
+
+void fixture::leave(std::size_t Balancer) {
+  Balancers[Balancer]->Leaving = true;
+  Balancers[Balancer]->control().leave(Now);
+  Queue.call(Now + Settings.SprayLag, [this] { updateSpray(); });
+}
+
+void fixture::restart(std::size_t Balancer) { start(Balancer); }
+
+void fixture::pause(std::size_t Balancer, duration Span) {
+  find(Balancer)->Paused = true;
+  Queue.call(Now + Span, [this, Balancer, I = find(Balancer)->self().Incarnation] {
+    if (find(Balancer) != nullptr && find(Balancer)->self().Incarnation == I)
+      find(Balancer)->Paused = false;
+  });
+}
+
+std::vector<std::size_t> fixture::running() const {
+  std::vector<std::size_t> Running;
+  for (std::size_t I = 0; I < Balancers.size(); ++I)
+    if (Balancers[I])
+      Running.push_back(I);
+  return Running;
+}
+
+void fixture::updateSpray() {
+  SprayAll.clear();
+  for (auto &List : Spray)
+    List.clear();
+  for (const std::size_t I : running()) {
+    if (Balancers[I]->Leaving)
+      continue;
+    Spray[DataCentreOf[I]].push_back(static_cast<std::uint32_t>(I));
+    SprayAll.push_back(static_cast<std::uint32_t>(I));
+  }
+}
+
+void fixture::cutOff(std::size_t DataCentre, bool IsCut) {
+  for (std::size_t Other = 0; Other <= DataCentreCount; ++Other) {
+    if (Other == DataCentre)
+      continue;
+    Cut[DataCentre][Other] = IsCut;
+    Cut[Other][DataCentre] = IsCut;
+  }
+}
+
+std::size_t fixture::sendThroughFabric(std::span<const std::byte> Inner, std::size_t Home,
+                                       std::uint32_t Target) {
+  const bool FromTarget = Target != NoTargetIndex;
+  // Callers reach each data centre; targets reach the fabric's parts that aren't cut off.
+  const bool All = Settings.Scope == ownership_scope::All;
+  const std::vector<std::uint32_t> &List = All ? SprayAll : Spray[Home];
+  if (List.empty())
+    return Home;
+  const std::uint32_t To = List[Random.below(List.size())];
+  packet &Packet = allocate(FromTarget ? hop::FromTarget : hop::FromCaller, To, Inner);
+  Packet.Tag = Target;
+  send(Packet, FromTarget ? Listener.targetDataCentre(Target) : Outside, DataCentreOf[To]);
+  return DataCentreOf[To];
+}
+
+fixture::packet &fixture::allocate(hop Hop, std::uint32_t Destination,
+                                   std::span<const std::byte> Inner) {
+  if (FreePackets.empty()) {
+    FreePackets.push_back(static_cast<std::uint32_t>(Packets.size()));
+    Packets.emplace_back();
+  }
+  packet &Packet = Packets[FreePackets.back()];
+  Packet.Hop = Hop;
+  Packet.Destination = Destination;
+  Packet.Size = static_cast<std::uint16_t>(std::min(Inner.size(), Packet.Inner.size()));
+  std::copy_n(Inner.begin(), Packet.Size, Packet.Inner.begin());
+  return Packet;
+}
+
+duration fixture::delay(std::size_t From, std::size_t To) {
+  duration Base = Settings.WithinDataCentre;
+  if (From == Outside || To == Outside)
+    Base = Settings.Deployment.ToCallers;
+  else if (From != To)
+    Base = Settings.Deployment.BetweenDataCentres;
+  // Up to a fifth more, so that packets overtake each other.
+  return Base + duration(Random.below(Base.count() / 5));
+}
+
+void fixture::send(packet &Packet, std::size_t From, std::size_t To) {
+  // The packet stays free unless it is sent. Callers reach the fabric of a cut-off data centre.
+  const bool Caller = Packet.Hop == hop::FromCaller || Packet.Hop == hop::ToCaller;
+  if (!Caller && !reachable(From, To))
+    return;
+  FreePackets.pop_back();
+  const auto Subject = static_cast<std::uint32_t>(&Packet - Packets.data());
+  Queue.add(Now + delay(From, To), event_kind::Packet, Subject);
+}
+
+void fixture::deliver(std::uint32_t Subject) {
+  // Handling the packet sends others, which may move the pool.
+  const packet Packet = Packets[Subject];
+  FreePackets.push_back(Subject);
+  const std::span<const std::byte> Inner = std::span(Packet.Inner).first(Packet.Size);
+  if (Packet.Hop == hop::ToCaller) {
+    Listener.packetAtCaller(Inner);
+    return;
+  }
+  if (Packet.Hop == hop::ToTarget) {
+    Listener.packetAtTarget(Packet.Destination, service_id{Packet.Tag}, Inner);
+    return;
+  }
+  measure::balancer *Process = find(Packet.Destination);
+  if (Process == nullptr || Process->Paused)
+    return;
+  if (Packet.Hop == hop::FromCaller) {
+    Process->data().handleForward(Inner, Now);
+  } else if (Packet.Hop == hop::FromBalancer) {
+    const auto Option = std::span(Packet.Option).first(Packet.OptionSize);
+    if (const auto Handover = parseHandover(Packet.OptionType, Option))
+      Process->data().handleHandover(*Handover, Inner, Now);
+    else
+      ++Malformed;
+  } else if (Process->view() != nullptr) {
+    // As in the daemon, a reply is known by the tunnel endpoint that it comes from.
+    const endpoint &Tunnel = Listener.targetTunnel(Packet.Tag);
+    if (const target_view *Target = Process->view()->findTargetByTunnel(Tunnel))
+      Process->data().handleReply(*Target, Inner, Now);
+  }
+}
+
+void fixture::deliverControl(std::size_t From, const endpoint &To, std::string Bytes) {
+  const auto Found = ControlIndex.find(To);
+  if (Found == ControlIndex.end() || Random.unit() < PeerLoss ||
+      !reachable(DataCentreOf[From], DataCentreOf[Found->second]))
+    return;
+  const duration Extra{Random.below(Settings.PeerDelay.count() + 1)};
+  const instant At = Now + delay(DataCentreOf[From], DataCentreOf[Found->second]) + Extra;
+  Queue.call(At, [this, Receiver = Found->second, Sender = makeEndpoint(From, 7400),
+                  Bytes = std::move(Bytes)] {
+    measure::balancer *Process = find(Receiver);
+    if (Process != nullptr && !Process->Paused)
+      Process->control().handleMessage(Sender, decodePeerMessage(Bytes), Now);
+  });
+}
+
+void fixture::countBytes(std::size_t Balancer, traffic_kind Kind, std::size_t Bytes) {
+  account &Account = Accounts[Balancer];
+  Account.Total.Bytes[static_cast<std::size_t>(Kind)] += static_cast<double>(Bytes);
+  if (Kind == traffic_kind::HandoverOptions)
+    return;
+  const std::int64_t Second = Now.time_since_epoch() / std::chrono::seconds(1);
+  if (Second != Account.SecondStart)
+    Account.Second = 0.0;
+  Account.SecondStart = Second;
+  Account.Second += static_cast<double>(Bytes);
+  Account.Total.Busiest = std::max(Account.Total.Busiest, Account.Second);
+}
+
+control_traffic fixture::traffic() const {
+  control_traffic Sum;
+  for (const account &Account : Accounts) {
+    for (std::size_t I = 0; I < TrafficKindCount; ++I)
+      Sum.Bytes[I] += Account.Total.Bytes[I];
+    Sum.Seconds += Account.Total.Seconds;
+    Sum.Busiest = std::max(Sum.Busiest, Account.Total.Busiest);
+  }
+  return Sum;
+}
+
+void fixture::resetTraffic() {
+  for (account &Account : Accounts)
+    Account = {};
+}
+
+} // namespace briarpoint::measure
--- /dev/null
+++ b/measure/imbalance.h
@@ -0,0 +1,40 @@
+#ifndef BRIARPOINT_MEASURE_IMBALANCE_H
+#define BRIARPOINT_MEASURE_IMBALANCE_H
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <span>
+
+namespace briarpoint::measure {
+
+/// Mean over samples of max/mean, per service.
+struct imbalance {
+  std::array<double, 2> Sum{};
+  std::array<double, 2> Largest{};
+  std::array<std::size_t, 2> Samples{};
+
+  /// Adds the values of a service's targets.
+  void add(std::size_t Service, std::span<const double> Values) {
+    double Total = 0.0;
+    double Max = 0.0;
+    for (const double Value : Values) {
+      Total += Value;
+      Max = std::max(Max, Value);
+    }
+    if (Total <= 0.0)
+      return;
+    const double Ratio = Max * static_cast<double>(Values.size()) / Total;
+    Sum[Service] += Ratio;
+    Largest[Service] = std::max(Largest[Service], Ratio);
+    ++Samples[Service];
+  }
+
+  double mean(std::size_t Service) const {
+    return Samples[Service] == 0 ? 0.0 : Sum[Service] / static_cast<double>(Samples[Service]);
+  }
+};
+
+} // namespace briarpoint::measure
+
+#endif // BRIARPOINT_MEASURE_IMBALANCE_H
--- /dev/null
+++ b/measure/report.h
@@ -0,0 +1,42 @@
+#ifndef BRIARPOINT_MEASURE_REPORT_H
+#define BRIARPOINT_MEASURE_REPORT_H
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace briarpoint::measure {
+
+/// Result of one case: figures, and checks of figures against the bounds of the design page.
+class report {
+public:
+  report(const std::string &Case, std::uint64_t Seed);
+
+  /// A figure for information.
+  template <typename T> void figure(const std::string &Name, const T &Value) {
+    Text["figures"][Name] = Value;
+  }
+  /// A figure that must be at most, or at least, the bound.
+  void atMost(const std::string &Name, double Value, double Bound);
+  void atLeast(const std::string &Name, double Value, double Bound);
+
+  /// Adds to the result hash what the run did besides its figures.
+  void mix(std::uint64_t Value);
+
+  bool passed() const { return Passed; }
+  /// One JSON object on one line.
+  std::string text() const;
+  /// Hash of all figures and of the mixed values.
+  std::uint64_t hash() const;
+
+private:
+  void check(const std::string &Name, double Value, double Bound, bool IsUpper, bool Pass);
+
+  nlohmann::ordered_json Text;
+  bool Passed = true;
+  std::uint64_t Mixed = 0;
+};
+
+} // namespace briarpoint::measure
+
+#endif // BRIARPOINT_MEASURE_REPORT_H
--- /dev/null
+++ b/measure/wire.h
@@ -0,0 +1,46 @@
+#ifndef BRIARPOINT_MEASURE_WIRE_H
+#define BRIARPOINT_MEASURE_WIRE_H
+
+#include "net/flow_key.h"
+
+#include <optional>
+#include <span>
+
+namespace briarpoint::measure {
+
+inline constexpr std::uint8_t TcpFin = 0x01;
+inline constexpr std::uint8_t TcpSyn = 0x02;
+inline constexpr std::uint8_t TcpRst = 0x04;
+inline constexpr std::uint8_t TcpAck = 0x10;
+
+/// A packet between a caller and a target, as the fakes see it.
+struct wire {
+  /// Index of the flow and the caller's port; the caller's address is 10.0.0.0 + the index.
+  std::uint32_t Flow = 0;
+  std::uint16_t CallerPort = 0;
+  std::uint8_t Service = 0;
+  std::uint16_t ServicePort = 0;
+  transport Protocol = transport::Tcp;
+  bool ToCaller = false;
+  /// An ICMP error about a UDP packet of the flow, with its code.
+  bool IsIcmp = false;
+  std::uint8_t IcmpCode = 0;
+  std::uint8_t Flags = 0;
+  std::uint32_t Sequence = 0;
+  std::uint32_t Acknowledgement = 0;
+  std::uint16_t PayloadSize = 0;
+};
+
+/// Largest packet that the fakes send or receive.
+inline constexpr std::size_t MaxWireSize = 128;
+
+/// Writes an IPv4 packet with valid checksums and returns its size. \p Out must have MaxWireSize
+/// bytes.
+std::size_t writeWire(const wire &Wire, std::span<std::byte> Out);
+
+/// Reads a packet. Returns nothing if it isn't one of the fakes' flows.
+std::optional<wire> readWire(std::span<const std::byte> Bytes);
+
+} // namespace briarpoint::measure
+
+#endif // BRIARPOINT_MEASURE_WIRE_H
