--- a/measure/balancer.cpp
+++ b/measure/balancer.cpp
@@ -19,9 +19,7 @@
     : Fixture(Fixture), Index(Index), Self(Settings.Self), Alive(std::make_shared<bool>(true)),
       Store(
           Fixture.Platform, Fixture.Queue, Fixture.Now,
-          [&Fixture, Index] {
-            return Fixture.reachable(Fixture.DataCentreOf[Index], Outside);
-          },
+          [&Fixture, Index] { return Fixture.reachable(Fixture.DataCentreOf[Index], Outside); },
           [&Fixture, Index](std::size_t Bytes) {
             Fixture.countBytes(Index, traffic_kind::Configuration, Bytes);
           }),
--- a/measure/control_traffic.h
+++ b/measure/control_traffic.h
@@ -7,7 +7,8 @@
 
 namespace briarpoint::measure {
 
-/// Kinds of control traffic. HandoverOptions are bytes in data packets, counted as information only.
+/// Kinds of control traffic. HandoverOptions are bytes in data packets, counted as information
+/// only.
 enum class traffic_kind : std::uint8_t {
   Heartbeats,
   States,
--- a/measure/deployment.cpp
+++ b/measure/deployment.cpp
@@ -24,7 +24,8 @@
   return Storage;
 }
 
-target_config makeTarget(const deployment &Deployment, std::uint32_t Service, std::uint32_t Number) {
+target_config makeTarget(const deployment &Deployment, std::uint32_t Service,
+                         std::uint32_t Number) {
   target_config Target;
   Target.Name = Deployment.Services[Service] + "-" + std::to_string(Number);
   Target.DataCentre = Deployment.DataCentres[Number % DataCentreCount];
--- a/measure/fake_flow.h
+++ b/measure/fake_flow.h
@@ -41,8 +41,9 @@
   std::uint32_t ServedSequence = 0;
   bool ServedDone = false;
   bool ServedAny = false;
-  /// The caller got at least one answer.
+  /// The caller got at least one answer; the flow counts in Offered and Delivered.
   bool Answered = false;
+  bool Counted = false;
   /// Occupies a place of its target's queue.
   bool Reserved = false;
   /// The target has seen the end of the flow.
--- a/measure/fake_target.h
+++ b/measure/fake_target.h
@@ -36,6 +36,8 @@
   /// Service time in all, in slot seconds, and what plain hashing would have caused.
   double Busy = 0.0;
   double PlainBusy = 0.0;
+  /// Part of Busy whose answers were sent to an open flow.
+  double Useful = 0.0;
   /// Open flows that plain hashing would have put here.
   std::uint32_t PlainFlows = 0;
   /// Slots in use at the last seconds, newest first; answers of probes may be that old.
--- /dev/null
+++ b/measure/load_cases.cpp
@@ -0,0 +1,96 @@
+#include "measure/flow_case.h"
+
+namespace briarpoint::measure {
+
+using std::chrono::seconds;
+
+namespace {
+
+void balance(scenario &Scenario, report &Report) {
+  Scenario.run(seconds(60));
+  const traffic &Flows = Scenario.flows();
+  for (std::uint32_t Service = 0; Service < 2; ++Service) {
+    const std::string &Name = Scenario.exchange().settings().Deployment.Services[Service];
+    Report.atMost("flow_imbalance_" + Name, Flows.flowImbalance().mean(Service), 1.015);
+    Report.figure("flow_imbalance_largest_" + Name, Flows.flowImbalance().Largest[Service]);
+    Report.figure("plain_hashing_" + Name, Flows.plainImbalance().mean(Service));
+  }
+  Scenario.reportFlows(Report);
+}
+
+/// Mean service time at which the short-lived flows use this share of a service's slots.
+duration serviceTime(const variant &Variant, double Use) {
+  const deployment &Deployment = Variant.Fixture.Deployment;
+  const double Requests =
+      Variant.Traffic.NewFlows * Variant.Traffic.ShortRequests +
+      Variant.Traffic.LongFlows / std::chrono::duration<double>(Variant.Traffic.LongGap).count();
+  const double Slots = Deployment.Slots * (Deployment.Targets[0] + Deployment.Targets[1]);
+  return duration(static_cast<duration::rep>(Use * Slots / Requests * 1e9));
+}
+
+void balanceSkewed(scenario &Scenario, report &Report) {
+  // The weights settle before the figures count.
+  Scenario.run(seconds(60));
+  Scenario.flows().resetCounts();
+  Scenario.run(seconds(90));
+  Report.atMost("slot_use_imbalance", Scenario.flows().slotRatio(0), 1.15);
+  Report.figure("slot_use_imbalance_plain_hashing", Scenario.flows().plainSlotRatio(0));
+  Scenario.reportFlows(Report);
+}
+
+void overload(scenario &Scenario, report &Report) {
+  // Admission settles before the figures count.
+  Scenario.run(seconds(30));
+  traffic &Flows = Scenario.flows();
+  Flows.resetCounts();
+  Scenario.run(seconds(55));
+  // Flows that open near the end can't be delivered within the run.
+  Flows.countOffers(false);
+  Scenario.run(seconds(5));
+  const traffic_counts &Counts = Flows.counts();
+  const auto Share = [&](request_class Class) {
+    const auto I = static_cast<std::size_t>(Class);
+    return static_cast<double>(Counts.Delivered[I]) / static_cast<double>(Counts.Offered[I]);
+  };
+  Report.atLeast("critical_delivered", Share(request_class::Critical), 0.999);
+  Report.figure("normal_delivered", Share(request_class::Normal));
+  Report.figure("bulk_delivered", Share(request_class::Bulk));
+  // Slots' capacity in seconds of service.
+  const deployment &Deployment = Scenario.exchange().settings().Deployment;
+  const double Capacity = 60.0 * Deployment.Slots * Deployment.Targets[0];
+  Report.atLeast("goodput", Flows.usefulSeconds(0) / Capacity, 0.95);
+  Report.figure("refused_by_targets", Flows.refused());
+  Scenario.reportFlows(Report);
+}
+
+void prepareOverload(variant &Variant) {
+  traffic_settings &Traffic = Variant.Traffic;
+  Traffic.ModelSlots = true;
+  Traffic.UdpShare = 0.05;
+  Traffic.ShortRequests = 1;
+  Traffic.ShortGap = std::chrono::milliseconds(500);
+  // Long-lived flows are open but idle, so that the slots serve the flow setups that admission
+  // control decides about.
+  Traffic.LongGap = std::chrono::hours(10);
+  Traffic.QueueLimit = 2 * Variant.Fixture.Deployment.Slots;
+  Traffic.ServiceTime = serviceTime(Variant, 1.5);
+}
+
+void prepareSkewed(variant &Variant) {
+  Variant.Traffic.ModelSlots = true;
+  Variant.Traffic.ReportAgeSeconds = 5;
+  Variant.Traffic.LongGap = std::chrono::seconds(400);
+  // With 2 of 14 hosts three times slower, 0.55 of equal hosts is about 0.6 of the capacity.
+  Variant.Traffic.ServiceTime = serviceTime(Variant, 0.5);
+  Variant.Traffic.SlowTargets = 2;
+}
+
+} // namespace
+
+void addLoadCases(std::vector<measure_case> &Cases) {
+  addFlowCase(Cases, {"balance", nullptr, balance});
+  addFlowCase(Cases, {"balance_skewed", prepareSkewed, balanceSkewed});
+  addFlowCase(Cases, {"overload", prepareOverload, overload});
+}
+
+} // namespace briarpoint::measure
--- a/measure/platform.cpp
+++ b/measure/platform.cpp
@@ -70,7 +70,8 @@
 }
 
 void platform_client::get(const std::string &Key, callback Done) {
-  request(RequestBytes, [&P = Platform, Key] { return P.read(Key); }, std::move(Done));
+  request(
+      RequestBytes, [&P = Platform, Key] { return P.read(Key); }, std::move(Done));
 }
 
 void platform_client::put(const std::string &Key, object_version Expected, const std::string &Value,
@@ -118,10 +119,15 @@
 
 void platform_client::listInstances(instances_callback Done) {
   const auto Listed = [&P = Platform, Done](const object_result &Result) {
-    Done(Result.Status, Result.Status == object_status::Ok ? P.Instances
-                                                           : std::vector<instance_entry>{});
+    Done(Result.Status,
+         Result.Status == object_status::Ok ? P.Instances : std::vector<instance_entry>{});
   };
-  request(RequestBytes, [] { return object_result{object_status::Ok, 0, {}}; }, Listed);
+  request(
+      RequestBytes,
+      [] {
+        return object_result{object_status::Ok, 0, {}};
+      },
+      Listed);
 }
 
 } // namespace briarpoint::measure
--- a/measure/report.cpp
+++ b/measure/report.cpp
@@ -13,8 +13,10 @@
 }
 
 void report::check(const std::string &Name, double Value, double Bound, bool IsUpper, bool Pass) {
-  Text["checks"].push_back(
-      {{"name", Name}, {"value", Value}, {IsUpper ? "at_most" : "at_least", Bound}, {"pass", Pass}});
+  Text["checks"].push_back({{"name", Name},
+                            {"value", Value},
+                            {IsUpper ? "at_most" : "at_least", Bound},
+                            {"pass", Pass}});
   Passed = Passed && Pass;
   Text["pass"] = Passed;
 }
--- /dev/null
+++ b/measure/request_cases.cpp
@@ -0,0 +1,45 @@
+#include "measure/case_catalog.h"
+
+#include "base/hash.h"
+#include "measure/request_schedule.h"
+
+namespace briarpoint::measure {
+
+namespace {
+
+report atMostOnce(std::uint64_t Seed, std::uint32_t Scale) {
+  report Report("at_most_once", Seed);
+  schedule_result Sum;
+  const std::uint32_t Schedules = 10'000 / Scale;
+  for (std::uint32_t I = 0; I < Schedules; ++I) {
+    const schedule_result Result = runSchedule(mixHash(Seed, I), schedule_fault::None);
+    Sum.Requests += Result.Requests;
+    Sum.Runs += Result.Runs;
+    Sum.Answers += Result.Answers;
+    Sum.ToldNotRun += Result.ToldNotRun;
+    Sum.ToldUnknown += Result.ToldUnknown;
+    Sum.Crashes += Result.Crashes;
+    Sum.RanTwice += Result.RanTwice;
+    Sum.WronglyNotRun += Result.WronglyNotRun;
+    Report.mix(Result.Hash);
+  }
+  Report.atLeast("schedules", Schedules, 10'000 / Scale);
+  Report.atMost("ran_twice", Sum.RanTwice, 0);
+  Report.atMost("wrongly_told_not_run", Sum.WronglyNotRun, 0);
+  // The schedules must do something.
+  Report.atLeast("runs", Sum.Runs, Sum.Requests / 4.0);
+  Report.atLeast("told_not_run", Sum.ToldNotRun, 1);
+  Report.figure("requests", Sum.Requests);
+  Report.figure("answers", Sum.Answers);
+  Report.figure("told_unknown", Sum.ToldUnknown);
+  Report.figure("crashes", Sum.Crashes);
+  return Report;
+}
+
+} // namespace
+
+void addRequestCases(std::vector<measure_case> &Cases) {
+  Cases.push_back({"at_most_once", atMostOnce});
+}
+
+} // namespace briarpoint::measure
--- /dev/null
+++ b/measure/request_schedule.cpp
@@ -0,0 +1,328 @@
+#include "measure/request_schedule.h"
+
+#include "base/seeded_random.h"
+#include "core/request/request_ledger.h"
+#include "measure/event_queue.h"
+
+#include <array>
+#include <map>
+#include <memory>
+
+namespace briarpoint::measure {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t NodeCount = 5;
+constexpr std::size_t RequestCount = 8;
+constexpr duration Lifetime = seconds(10);
+/// Loss after which a peer is declared dead, at least; each peer adds up to 2 s.
+constexpr duration DeadAfter = milliseconds(2500);
+
+struct request_truth {
+  request_submission Submission;
+  std::uint32_t Runs = 0;
+  bool RanAfterNotRun = false;
+  bool ToldNotRun = false;
+  instant NotRunAt = Never;
+  bool Done = false;
+};
+
+class schedule;
+
+/// One process: a ledger and its view of its peers.
+struct node final : public request_listener {
+  node(schedule &All, std::size_t Index, random_source &Random);
+
+  target_id chooseTarget(const request_record &) override;
+  void replicate(const request_record &Record) override;
+  void sendToTarget(const request_record &Record) override;
+  void cancelAtTarget(const request_record &) override {}
+  void tellCaller(request_id Id, request_answer Answer) override;
+
+  schedule &All;
+  std::size_t Index;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::array<bool, NodeCount> Believed;
+  request_ledger Ledger;
+};
+
+class schedule {
+public:
+  schedule(std::uint64_t Seed, schedule_fault Fault);
+  schedule_result run();
+
+  // Network: a closure that runs later, perhaps twice or never.
+  void message(std::function<void()> Deliver, bool MayDuplicate = true);
+  void toNode(std::size_t To, std::function<void(node &)> Deliver);
+  std::size_t firstOwner(const node &From, request_id Id) const;
+  std::vector<std::size_t> ranking(request_id Id) const;
+
+  void tick();
+  void submit(std::size_t Request, std::uint32_t Sends);
+  void crash(std::size_t Index);
+  void start(std::size_t Index);
+  void believe(std::size_t Observer, std::size_t Subject, bool Is);
+  void replicateTo(std::size_t From, std::size_t To, const request_record &Record,
+                   const std::shared_ptr<std::array<bool, NodeCount>> &Stored);
+  void confirm(std::size_t From, const request_record &Record,
+               const std::shared_ptr<std::array<bool, NodeCount>> &Stored);
+  void execute(const request_record &Record, std::size_t Owner, instant HandedOverAt);
+  void report(request_id Id, std::function<void(node &)> Deliver);
+
+  schedule_fault Fault;
+  seeded_random Random;
+  event_queue Queue;
+  instant Now{seconds(100)};
+  double Loss;
+  double Duplication;
+  duration Delay;
+  bool Crashing = false;
+  std::array<std::unique_ptr<node>, NodeCount> Nodes;
+  std::map<request_id, request_truth> Requests;
+  schedule_result Result;
+};
+
+request_ledger_settings ledgerSettings() {
+  request_ledger_settings Settings;
+  Settings.MaxLifetime = Lifetime;
+  Settings.AttemptTimeout = seconds(2);
+  Settings.RetryRatio = 2.0;
+  return Settings;
+}
+
+node::node(schedule &All, std::size_t Index, random_source &Random)
+    : All(All), Index(Index), Ledger(ledgerSettings(), Random, *this) {
+  Believed.fill(true);
+}
+
+target_id node::chooseTarget(const request_record &) {
+  return All.Random.below(20) == 0 ? NoTarget : target_id{1 + All.Random.below(3)};
+}
+
+void node::replicate(const request_record &Record) {
+  auto Stored = std::make_shared<std::array<bool, NodeCount>>();
+  Stored->fill(false);
+  for (const std::size_t Other : All.ranking(Record.Id))
+    if (Other != Index)
+      All.replicateTo(Index, Other, Record, Stored);
+  // The confirmation comes from an event, never from within the ledger's call.
+  All.Queue.call(All.Now, [this, &All = All, Record, Stored, Alive = Alive] {
+    if (*Alive)
+      All.confirm(Index, Record, Stored);
+  });
+}
+
+void node::sendToTarget(const request_record &Record) {
+  // TCP delivers an attempt at most once.
+  All.message([&All = All, Record, Owner = Index, At = All.Now] { All.execute(Record, Owner, At); },
+              false);
+}
+
+void node::tellCaller(request_id Id, request_answer Answer) {
+  request_truth &Truth = All.Requests.at(Id);
+  ++All.Result.Answers;
+  if (Answer == request_answer::NotRun) {
+    ++All.Result.ToldNotRun;
+    if (!Truth.ToldNotRun)
+      Truth.NotRunAt = All.Now;
+    Truth.ToldNotRun = true;
+    Truth.RanAfterNotRun = Truth.RanAfterNotRun || Truth.Runs > 0;
+  }
+  All.Result.ToldUnknown += Answer == request_answer::Unknown ? 1 : 0;
+  All.message([&Truth, Answer] { Truth.Done = Truth.Done || Answer != request_answer::Unknown; });
+}
+
+schedule::schedule(std::uint64_t Seed, schedule_fault Fault) : Fault(Fault), Random(Seed) {
+  Loss = Random.unit() * 0.3;
+  Duplication = Random.unit() * 0.4;
+  Delay = milliseconds(1 + Random.below(Random.below(3) == 0 ? 3000 : 100));
+  for (std::size_t I = 0; I < NodeCount; ++I) {
+    start(I);
+    Nodes[I]->Ledger.setConvergedAt(Now);
+  }
+}
+
+void schedule::message(std::function<void()> Deliver, bool MayDuplicate) {
+  const bool Twice = MayDuplicate && Random.unit() < Duplication;
+  for (int Copy = 0; Copy < (Twice ? 2 : 1); ++Copy)
+    if (Random.unit() >= Loss)
+      Queue.call(Now + duration(Random.below(Delay.count() * (Copy + 1))), Deliver);
+}
+
+void schedule::toNode(std::size_t To, std::function<void(node &)> Deliver) {
+  message([this, To, Deliver = std::move(Deliver)] {
+    if (Nodes[To])
+      Deliver(*Nodes[To]);
+  });
+}
+
+std::vector<std::size_t> schedule::ranking(request_id Id) const {
+  std::vector<std::size_t> Order(NodeCount);
+  for (std::size_t I = 0; I < NodeCount; ++I)
+    Order[I] = I;
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    return mixHash(A, static_cast<std::uint64_t>(Id)) < mixHash(B, static_cast<std::uint64_t>(Id));
+  });
+  return Order;
+}
+
+std::size_t schedule::firstOwner(const node &From, request_id Id) const {
+  for (const std::size_t I : ranking(Id))
+    if (From.Believed[I])
+      return I;
+  return From.Index;
+}
+
+void schedule::replicateTo(std::size_t From, std::size_t To, const request_record &Record,
+                           const std::shared_ptr<std::array<bool, NodeCount>> &Stored) {
+  toNode(To, [this, From, To, Record, Stored](node &Other) {
+    if (!Other.Ledger.handleRecord(Record, Now))
+      return;
+    toNode(From, [To, Stored](node &) { (*Stored)[To] = true; });
+  });
+}
+
+void schedule::confirm(std::size_t From, const request_record &Record,
+                       const std::shared_ptr<std::array<bool, NodeCount>> &Stored) {
+  node &Self = *Nodes[From];
+  bool All = true;
+  for (std::size_t I = 0; I < NodeCount; ++I) {
+    if (I == From || !Self.Believed[I] || (*Stored)[I])
+      continue;
+    All = false;
+    replicateTo(From, I, Record, Stored);
+  }
+  if (All || Fault == schedule_fault::NoReplication) {
+    Self.Ledger.handleReplicated(Record.Id, Record.Revision, Now);
+    return;
+  }
+  // Sent again until it is stored or the peer is declared dead.
+  Queue.call(Now + milliseconds(300), [this, From, Record, Stored, Alive = Self.Alive] {
+    if (*Alive)
+      confirm(From, Record, Stored);
+  });
+}
+
+void schedule::execute(const request_record &Record, std::size_t Owner, instant HandedOverAt) {
+  request_truth &Truth = Requests.at(Record.Id);
+  if (Random.below(4) == 0) {
+    toNode(Owner, [this, Record](node &Self) {
+      Self.Ledger.handleRefusal(Record.Id, Record.Attempt, Now);
+    });
+    return;
+  }
+  ++Truth.Runs;
+  ++Result.Runs;
+  const bool Counts = !Truth.Submission.Idempotent || HandedOverAt <= Truth.NotRunAt;
+  if (Truth.ToldNotRun && Counts)
+    Truth.RanAfterNotRun = true;
+  report(Record.Id, [this, Id = Record.Id](node &Self) { Self.Ledger.handleAnswer(Id, Now); });
+}
+
+void schedule::report(request_id Id, std::function<void(node &)> Deliver) {
+  // Any balancer gets the answer and passes it to the owner that it knows of.
+  toNode(Random.below(NodeCount), [this, Id, Deliver = std::move(Deliver)](node &Ingress) {
+    const std::size_t Owner = firstOwner(Ingress, Id);
+    if (Owner == Ingress.Index)
+      Deliver(Ingress);
+    else
+      toNode(Owner, Deliver);
+  });
+}
+
+void schedule::submit(std::size_t Request, std::uint32_t Sends) {
+  const request_id Id{Request + 1};
+  const request_truth &Truth = Requests.at(Id);
+  if (Truth.Done || Sends == 0)
+    return;
+  report(Id, [this, Id](node &Owner) { Owner.Ledger.submit(Requests.at(Id).Submission, Now); });
+  Queue.call(Now + milliseconds(200 + Random.below(3000)),
+             [this, Request, Sends] { submit(Request, Sends - 1); });
+}
+
+void schedule::start(std::size_t Index) {
+  Nodes[Index] = std::make_unique<node>(*this, Index, Random);
+  for (std::size_t Other = 0; Other < NodeCount; ++Other) {
+    Nodes[Index]->Believed[Other] = Nodes[Other] != nullptr;
+    if (Other != Index && Nodes[Other])
+      believe(Other, Index, true);
+  }
+  // A new process knows nothing of earlier requests until they have expired.
+  const instant Converged = Now + Lifetime + seconds(1);
+  Nodes[Index]->Ledger.setConvergedAt(Fault == schedule_fault::NoConvergence ? Now : Converged);
+}
+
+void schedule::crash(std::size_t Index) {
+  if (!Nodes[Index])
+    return;
+  ++Result.Crashes;
+  *Nodes[Index]->Alive = false;
+  Nodes[Index].reset();
+  for (std::size_t Other = 0; Other < NodeCount; ++Other) {
+    if (!Nodes[Other])
+      continue;
+    Queue.call(Now + DeadAfter + milliseconds(Random.below(2000)), [this, Other, Index] {
+      if (Nodes[Other] && !Nodes[Index])
+        believe(Other, Index, false);
+    });
+  }
+  // Many crashed processes are replaced at once, sometimes before anybody noticed.
+  if (Random.below(3) > 0)
+    Queue.call(Now + milliseconds(Random.below(6000)), [this, Index] {
+      if (!Nodes[Index])
+        start(Index);
+    });
+}
+
+void schedule::believe(std::size_t Observer, std::size_t Subject, bool Is) {
+  Nodes[Observer]->Believed[Subject] = Is;
+  if (Fault != schedule_fault::NoConvergence)
+    Nodes[Observer]->Ledger.setConvergedAt(Now + Lifetime + seconds(1));
+}
+
+void schedule::tick() {
+  for (const auto &Node : Nodes)
+    if (Node)
+      Node->Ledger.tick(Now);
+  Queue.call(Now + milliseconds(100), [this] { tick(); });
+}
+
+schedule_result schedule::run() {
+  tick();
+  // Requests start within 6 s; up to three crashes at any time in between.
+  for (std::size_t I = 0; I < RequestCount; ++I) {
+    const instant At = Now + milliseconds(Random.below(6000));
+    request_truth &Truth = Requests[request_id{I + 1}];
+    Truth.Submission = {request_id{I + 1}, request_class::Critical, I % 3 == 0, true,
+                        At + Lifetime};
+    Queue.call(At, [this, I] { submit(I, 5); });
+  }
+  const std::uint64_t Crashes = Random.below(4);
+  for (std::uint64_t I = 0; I < Crashes; ++I)
+    Queue.call(Now + milliseconds(Random.below(7000)), [this] { crash(Random.below(NodeCount)); });
+
+  const instant End = Now + seconds(45);
+  while (Queue.due(End)) {
+    const event_queue::event Event = Queue.take();
+    Now = Event.At;
+    Result.Hash = mixHash(Result.Hash + Event.Subject, Now.time_since_epoch().count());
+    Queue.runClosure(Event.Subject);
+  }
+  Result.Requests = RequestCount;
+  for (const auto &[Id, Truth] : Requests) {
+    Result.RanTwice += !Truth.Submission.Idempotent && Truth.Runs > 1 ? 1 : 0;
+    Result.WronglyNotRun += Truth.RanAfterNotRun ? 1 : 0;
+  }
+  return Result;
+}
+
+} // namespace
+
+schedule_result runSchedule(std::uint64_t Seed, schedule_fault Fault) {
+  return schedule(Seed, Fault).run();
+}
+
+} // namespace briarpoint::measure
--- a/measure/scenario.cpp
+++ b/measure/scenario.cpp
@@ -38,7 +38,11 @@
 }
 
 void scenario::submitAgain(patch Patch, std::function<void()> Done) {
-  balancer &Through = *Exchange.find(pickBalancer());
+  // The operators' tool uses a balancer that reaches the platform.
+  std::size_t Picked = pickBalancer();
+  while (!Exchange.reachable(Exchange.dataCentreOf(Picked), Outside))
+    Picked = pickBalancer();
+  balancer &Through = *Exchange.find(Picked);
   if (Patch.Base < Accepted || Patch.Base == 0)
     Patch.Base = Through.control().inForce()->Version;
   const auto Handle = [this, Patch, Done = std::move(Done)](const patch_outcome &Outcome) {
@@ -158,10 +162,10 @@
   Report.figure("setups_unanswered", Counts.Unanswered);
   Report.figure("closes_unanswered", Counts.CloseUnanswered);
   Report.figure("flows_ended_with_dead_target", Counts.EndedDead);
-  Report.figure("flow_imbalance", std::max(Flows.flowImbalance().mean(0),
-                                           Flows.flowImbalance().mean(1)));
-  Report.figure("flow_imbalance_plain_hashing", std::max(Flows.plainImbalance().mean(0),
-                                                         Flows.plainImbalance().mean(1)));
+  Report.figure("flow_imbalance",
+                std::max(Flows.flowImbalance().mean(0), Flows.flowImbalance().mean(1)));
+  Report.figure("flow_imbalance_plain_hashing",
+                std::max(Flows.plainImbalance().mean(0), Flows.plainImbalance().mean(1)));
   data_plane_counters Sum;
   for (const std::size_t I : Exchange.running()) {
     const data_plane_counters Own = Exchange.find(I)->data().counters();
--- a/measure/scenario.h
+++ b/measure/scenario.h
@@ -15,8 +15,8 @@
 public:
   explicit scenario(const variant &Variant);
 
-  fixture &exchange() { return Exchange; }
-  traffic &flows() { return Flows; }
+  fixture &exchange() const { return Exchange; }
+  traffic &flows() const { return Flows; }
 
   /// Starts the balancers, puts the configuration in force and opens the flows; the counts start
   /// afterwards. Returns false if the balancers don't get ready or the patch isn't accepted.
@@ -62,8 +62,8 @@
   void reportSetups(report &Report);
 
   variant Variant;
-  traffic Flows;
-  fixture Exchange;
+  mutable traffic Flows;
+  mutable fixture Exchange;
   config_version Accepted = 0;
   std::size_t Pending = 0;
   std::uint32_t Patches = 0;
--- a/measure/traffic.cpp
+++ b/measure/traffic.cpp
@@ -20,6 +20,8 @@
   for (std::uint32_t I = 0; I < Services.size(); ++I)
     for (const target_config &Target : Services[I].Targets)
       addTarget(Services[I].Name, I, Target);
+  for (std::uint32_t I = 0; I < Settings.SlowTargets; ++I)
+    Targets[I * 7].Slowness = 3.0;
 }
 
 void traffic::start(fixture &With) {
@@ -33,9 +35,12 @@
   Counts = {};
   FlowImbalance = {};
   PlainImbalance = {};
+  for (fake_flow &Flow : Flows)
+    Flow.Counted = false;
   for (fake_target &Target : Targets) {
     Target.Busy = 0.0;
     Target.PlainBusy = 0.0;
+    Target.Useful = 0.0;
     Target.Served = 0;
     Target.Refused = 0;
   }
@@ -104,7 +109,8 @@
     ++Targets[Flow.PlainTarget].PlainFlows;
   ++OpenCount;
   ++Counts.Opened;
-  ++Counts.Offered[static_cast<std::size_t>(Flow.Class)];
+  Flow.Counted = CountOffers;
+  Counts.Offered[static_cast<std::size_t>(Flow.Class)] += CountOffers ? 1 : 0;
   Flow.Waiting = true;
   sendPending(Index);
 }
@@ -116,10 +122,10 @@
   Wire.CallerPort = Flow.CallerPort;
   Wire.Service = Flow.Service;
   Wire.Protocol = Flow.Protocol;
-  Wire.ServicePort = Flow.Protocol == transport::Udp
-                         ? UdpPort
-                         : static_cast<std::uint16_t>(FirstTcpPort +
-                                                      static_cast<std::uint16_t>(Flow.Class));
+  Wire.ServicePort =
+      Flow.Protocol == transport::Udp
+          ? UdpPort
+          : static_cast<std::uint16_t>(FirstTcpPort + static_cast<std::uint16_t>(Flow.Class));
   Wire.Sequence = Flow.Sequence;
   Wire.Acknowledgement = Flow.Acknowledgement;
   return Wire;
@@ -132,8 +138,8 @@
   Wire.PayloadSize = Payload;
   std::array<std::byte, MaxWireSize> Bytes;
   const std::size_t Size = writeWire(Wire, Bytes);
-  const std::size_t Ingress = Exchange->sendThroughFabric(std::span(Bytes).first(Size), Flow.Home,
-                                                          fixture::NoTargetIndex);
+  const std::size_t Ingress =
+      Exchange->sendThroughFabric(std::span(Bytes).first(Size), Flow.Home, fixture::NoTargetIndex);
   if (!Flow.Waiting)
     return;
   // Stalls count from the first packet whose path exists.
@@ -313,8 +319,10 @@
     Flow.Acknowledgement = Wire.Sequence + Wire.PayloadSize;
   Flow.Sequence += 16;
   ++Counts.Answers;
-  if (!Flow.Answered)
-    ++Counts.Delivered[static_cast<std::size_t>(Flow.Class)];
+  if (!Flow.Answered) {
+    Counts.Delivered[static_cast<std::size_t>(Flow.Class)] += Flow.Counted ? 1 : 0;
+    ++Counts.ServedAt[Flow.Home];
+  }
   Flow.Answered = true;
   // A payload of 20 bytes asks to reconnect.
   Flow.ShouldClose = Wire.PayloadSize == 20;
--- a/measure/traffic.h
+++ b/measure/traffic.h
@@ -40,8 +40,13 @@
   void markActive(std::uint32_t Target);
   /// Its connections of \p Count open flows are lost without a word. Returns how many it found.
   std::uint32_t makeSilent(std::uint32_t Count);
-  /// Silent flows that are still open.
-  std::uint32_t silentOpen() const;
+  /// Silent flows that are open although the criterion was met more than 15 s ago.
+  std::uint32_t silentOverdue() const;
+  /// Whether flows that open from now on count in Offered and Delivered.
+  void countOffers(bool Count) { CountOffers = Count; }
+  /// Seconds of service whose answers reached an open flow, and refused setups.
+  double usefulSeconds(std::uint32_t Service) const;
+  std::uint64_t refused() const;
 
   /// Open flows per target, and what plain hashing would have given.
   const imbalance &flowImbalance() const { return FlowImbalance; }
@@ -91,6 +96,7 @@
   void serve(std::uint32_t Target, const wire &Wire);
   void finish(std::uint32_t Target, const wire &Wire);
   void release(fake_flow &Flow);
+  double useOf(std::uint32_t Service, double fake_target::*Amount) const;
   bool holds(std::uint32_t Target, const wire &Wire) const;
 
   // Comparison with plain hashing, and samples.
@@ -107,6 +113,7 @@
   std::deque<std::uint32_t> FreeFlows;
   std::uint32_t OpenCount = 0;
   std::uint32_t LongToOpen = 0;
+  bool CountOffers = true;
   double LongCredit = 0.0;
   traffic_counts Counts;
   imbalance FlowImbalance;
--- a/measure/traffic_counts.h
+++ b/measure/traffic_counts.h
@@ -34,7 +34,9 @@
   std::uint64_t CloseUnanswered = 0;
   /// Flows that plain hashing without history would have broken.
   std::uint64_t PlainBroken = 0;
-  /// Setups, rejections and served requests by class, if slots are modelled.
+  /// Flows that got a first answer, by the data centre of their callers.
+  std::array<std::uint64_t, 3> ServedAt{};
+  /// Flows opened by class, and those that got an answer.
   std::array<std::uint64_t, RequestClassCount> Offered{};
   std::array<std::uint64_t, RequestClassCount> Delivered{};
   /// "Not run" answers to setups that a target had served.
--- a/measure/traffic_settings.h
+++ b/measure/traffic_settings.h
@@ -26,6 +26,8 @@
   bool ModelSlots = false;
   /// Requests that wait at a target at most; further connections are refused.
   std::uint32_t QueueLimit = 1'000'000;
+  /// Targets of the first service that take three times as long.
+  std::uint32_t SlowTargets = 0;
   /// Age of the slot use in health answers.
   std::uint32_t ReportAgeSeconds = 0;
   /// Share of the critical and of the bulk class; the rest is normal.
--- a/measure/traffic_targets.cpp
+++ b/measure/traffic_targets.cpp
@@ -19,8 +19,8 @@
   Target.Config = Config;
   Target.Id = makeTargetId(ServiceName, Config);
   Target.Service = Service;
-  const auto Found = std::find(Deployment.DataCentres.begin(), Deployment.DataCentres.end(),
-                               Config.DataCentre);
+  const auto Found =
+      std::find(Deployment.DataCentres.begin(), Deployment.DataCentres.end(), Config.DataCentre);
   Target.DataCentre = static_cast<std::size_t>(Found - Deployment.DataCentres.begin());
   // Configured later: it isn't part of the plain hash until markActive.
   if (Exchange != nullptr)
@@ -58,10 +58,11 @@
   return Made;
 }
 
-std::uint32_t traffic::silentOpen() const {
+std::uint32_t traffic::silentOverdue() const {
   return static_cast<std::uint32_t>(
-      std::count_if(Flows.begin(), Flows.end(), [](const fake_flow &Flow) {
-        return Flow.Silent && Flow.State != flow_state::Free && Flow.CriterionAt != Never;
+      std::count_if(Flows.begin(), Flows.end(), [&](const fake_flow &Flow) {
+        return Flow.Silent && Flow.State != flow_state::Free && Flow.CriterionAt != Never &&
+               Exchange->now() - Flow.CriterionAt > std::chrono::seconds(15);
       }));
 }
 
@@ -221,12 +222,14 @@
   if (Plain >= 0)
     Targets[Plain].PlainBusy += Base * Targets[Plain].Slowness;
   const duration Span{static_cast<duration::rep>(Seconds * 1e9)};
-  Exchange->call(Exchange->now() + Span, [this, Target, Wire] {
+  Exchange->call(Exchange->now() + Span, [this, Target, Wire, Seconds] {
     fake_target &There = Targets[Target];
     --There.Running;
     ++There.Served;
-    if (holds(Target, Wire) && Flows[Wire.Flow].ServedSequence == Wire.Sequence)
+    if (holds(Target, Wire) && Flows[Wire.Flow].ServedSequence == Wire.Sequence) {
+      There.Useful += Seconds;
       finish(Target, Wire);
+    }
     if (There.Waiting.empty())
       return;
     const wire Next = There.Waiting.front();
@@ -301,24 +304,36 @@
   Exchange->call(Exchange->now() + SampleInterval, [this] { sample(); });
 }
 
-double traffic::slotRatio(std::uint32_t Service) const {
+double traffic::useOf(std::uint32_t Service, double fake_target::*Amount) const {
   imbalance Ratio;
   std::vector<double> Use;
   for (const fake_target &Target : Targets)
     if (Target.Service == Service)
-      Use.push_back(Target.Busy);
+      Use.push_back(Target.*Amount);
   Ratio.add(0, Use);
   return Ratio.mean(0);
 }
 
+double traffic::slotRatio(std::uint32_t Service) const {
+  return useOf(Service, &fake_target::Busy);
+}
+
 double traffic::plainSlotRatio(std::uint32_t Service) const {
-  imbalance Ratio;
-  std::vector<double> Use;
+  return useOf(Service, &fake_target::PlainBusy);
+}
+
+double traffic::usefulSeconds(std::uint32_t Service) const {
+  double Sum = 0.0;
   for (const fake_target &Target : Targets)
-    if (Target.Service == Service)
-      Use.push_back(Target.PlainBusy);
-  Ratio.add(0, Use);
-  return Ratio.mean(0);
+    Sum += Target.Service == Service ? Target.Useful : 0.0;
+  return Sum;
+}
+
+std::uint64_t traffic::refused() const {
+  std::uint64_t Sum = 0;
+  for (const fake_target &Target : Targets)
+    Sum += Target.Refused;
+  return Sum;
 }
 
 } // namespace briarpoint::measure
--- a/measure/wire.cpp
+++ b/measure/wire.cpp
@@ -63,8 +63,8 @@
     put16(Out, 24, static_cast<std::uint32_t>(8 + Wire.PayloadSize));
   }
   // Pseudo header: addresses, protocol, length.
-  const std::uint32_t Pseudo = static_cast<std::uint32_t>(Wire.Protocol) +
-                               static_cast<std::uint32_t>(Size - 20);
+  const std::uint32_t Pseudo =
+      static_cast<std::uint32_t>(Wire.Protocol) + static_cast<std::uint32_t>(Size - 20);
   put16(Out, Tcp ? 36 : 26, fold(addWords(Out.subspan(12, Size - 12), Pseudo)));
   return Size;
 }
