--- a/measure/fixture.h
+++ b/measure/fixture.h
@@ -9,6 +9,7 @@
 #include "measure/fixture_listener.h"
 #include "measure/fixture_settings.h"
 #include "measure/platform.h"
+#include "peer/message_authenticator.h"
 
 #include <map>
 #include <memory>
@@ -73,7 +74,7 @@
 
   static constexpr std::uint32_t NoTargetIndex = ~0U;
   /// Bytes of a control datagram besides the message: IPv4 and UDP headers, and authentication.
-  static constexpr std::size_t DatagramOverhead = 28 + 48;
+  static constexpr std::size_t DatagramOverhead = 28 + message_authenticator::Overhead;
 
 private:
   friend class balancer;
--- a/measure/request_schedule.cpp
+++ b/measure/request_schedule.cpp
@@ -139,10 +139,10 @@
   Loss = Random.unit() * 0.3;
   Duplication = Random.unit() * 0.4;
   Delay = milliseconds(1 + Random.below(Random.below(3) == 0 ? 3000 : 100));
-  for (std::size_t I = 0; I < NodeCount; ++I) {
+  for (std::size_t I = 0; I < NodeCount; ++I)
     start(I);
-    Nodes[I]->Ledger.setConvergedAt(Now);
-  }
+  for (const auto &Node : Nodes)
+    Node->Ledger.setConvergedAt(Now);
 }
 
 void schedule::message(std::function<void()> Deliver, bool MayDuplicate) {
