--- a/measure/configuration_cases.cpp
+++ b/measure/configuration_cases.cpp
@@ -107,7 +107,7 @@
   Report.atMost("patches_not_applied_once", WrongVersion, 0);
 }
 
-/// Time until a patch is in force on all balancers, largest of 20.
+/// Time from the submission of a patch until it is in force on all balancers, largest of 20.
 double slowestPatch(scenario &Scenario) {
   fixture &Exchange = Scenario.exchange();
   double Slowest = 0.0;
@@ -117,11 +117,10 @@
     const patch Patch = makePatch(Scenario, "force-" + std::to_string(Base), Base, 3, Intent);
     const std::size_t Through = Scenario.pickBalancer();
     bool Accepted = false;
+    const instant Start = Exchange.now();
     Exchange.find(Through)->control().submitPatch(
         Patch, Exchange.now(),
         [&](const patch_outcome &Outcome) { Accepted = Outcome.Status == patch_status::Accepted; });
-    Exchange.runUntil(Exchange.now() + seconds(10), [&] { return Accepted; });
-    const instant Start = Exchange.now();
     const bool Everywhere = Exchange.runUntil(
         Start + seconds(60), [&] { return Accepted && Scenario.allInForce(Base + 1); });
     const double Span = std::chrono::duration<double>(Exchange.now() - Start).count();
--- a/src/core/request/priority_admission.cpp
+++ b/src/core/request/priority_admission.cpp
@@ -16,31 +16,31 @@
   return Admission[Index] >= 1.0 || Random.unit() < Admission[Index];
 }
 
-void priority_admission::recordOutcome(bool Refused, instant Now) {
+void priority_admission::recordOutcome(bool WasRefused, instant Now) {
   closeWindow(Now);
-  ++Outcomes;
-  Refusals += Refused ? 1 : 0;
+  (WasRefused ? Refused : Accepted) += 1.0;
 }
 
 void priority_admission::closeWindow(instant Now) {
   if (Now < WindowEnd)
     return;
   WindowEnd = Now + Settings.Window;
-  if (Outcomes >= Settings.MinOutcomes) {
+  if (Accepted + Refused >= Settings.MinOutcomes)
     adaptLevel();
-    Outcomes = 0;
-    Refusals = 0;
-  }
   allocate();
+  Accepted *= Settings.Decay;
+  Refused *= Settings.Decay;
   for (double &Count : Offered)
     Count *= Settings.Decay;
 }
 
 void priority_admission::adaptLevel() {
-  // What was refused beyond the tolerable share is cut in one step; raising is gradual.
-  const double Share = static_cast<double>(Refusals) / Outcomes;
-  if (Share > Settings.ToleratedRefusals)
-    Level *= 1.0 - (Share - Settings.ToleratedRefusals);
+  // Under overload the targets accept as much as they can serve: the level is cut to that in one
+  // step, and a little further while they refuse too much: refused setups are retried elsewhere, so
+  // that most of them are accepted in the end. Raising is gradual.
+  const double Total = std::accumulate(Offered.begin(), Offered.end(), 0.0);
+  if (Refused > Settings.ToleratedRefusals * (Accepted + Refused))
+    Level = std::min(Level, Accepted / std::max(Total, 1.0)) * (1.0 - Settings.Cut);
   else
     Level += Settings.Raise;
   Level = std::clamp(Level, Settings.MinLevel, 1.0);
--- a/src/core/request/priority_admission.h
+++ b/src/core/request/priority_admission.h
@@ -18,7 +18,7 @@
   priority_admission(const priority_admission_settings &Settings, random_source &Random);
 
   bool admit(request_class Class, instant Now) override;
-  void recordOutcome(bool Refused, instant Now) override;
+  void recordOutcome(bool WasRefused, instant Now) override;
 
   /// Admitted share of the offered requests, 0 to 1.
   double level() const { return Level; }
@@ -32,9 +32,9 @@
   random_source &Random;
   double Level = 1.0;
   instant WindowEnd{};
-  std::uint32_t Outcomes = 0;
-  std::uint32_t Refusals = 0;
-  /// Offered requests per class, decayed at each window.
+  /// Outcomes and offered requests per class, decayed at each window.
+  double Accepted = 0.0;
+  double Refused = 0.0;
   std::array<double, RequestClassCount> Offered{};
   std::array<double, RequestClassCount> Admission{1.0, 1.0, 1.0};
 };
