--- a/measure/load_cases.cpp
+++ b/measure/load_cases.cpp
@@ -60,6 +60,15 @@
   const double Capacity = 60.0 * Deployment.Slots * Deployment.Targets[0];
   Report.atLeast("goodput", Flows.usefulSeconds(0) / Capacity, 0.95);
   Report.figure("refused_by_targets", Flows.refused());
+  std::vector<double> Weights;
+  std::vector<double> Use;
+  fixture &Exchange = Scenario.exchange();
+  for (const target_view &Target : Exchange.find(Exchange.running().front())->view()->targets())
+    Weights.push_back(Target.Weight);
+  for (const fake_target &Target : Flows.targets())
+    Use.push_back(Target.Busy / 60.0 / Deployment.Slots);
+  Report.figure("weights_at_end", Weights);
+  Report.figure("slot_use", Use);
   Scenario.reportFlows(Report);
 }
 
--- a/measure/traffic.h
+++ b/measure/traffic.h
@@ -82,6 +82,7 @@
   void waitForNext(std::uint32_t Index);
   void retransmit(std::uint32_t Index);
   bool checkStall(std::uint32_t Index);
+  bool canGoOn(const fake_flow &Flow) const;
   void answered(std::uint32_t Index, const wire &Wire);
   void ended(std::uint32_t Index, bool Setup);
   void setTimer(std::uint32_t Index, duration Span);
