Add the capacity benchmark

Cause: docs/CAPACITY.md needs slopes from a program that anybody can run. Change: capacity_bench runs real control planes joined in memory, and measures records, views and configurations at three sizes or more.

--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,196 @@
+/// Prints what the parts of a balancer cost at several sizes: the slopes that docs/CAPACITY.md is
+/// worked out from. One JSON object per line. Usage: capacity_bench
+/// [control|records|views|configuration]
+
+#include "bench/control_fleet.h"
+#include "config/configuration_parts.h"
+#include "core/flow/flow_table.h"
+#include "core/view/forwarding_view.h"
+
+#include <chrono>
+#include <ctime>
+#include <iostream>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string_view>
+
+namespace briarpoint::bench {
+namespace {
+
+using nlohmann::json;
+using std::chrono::seconds;
+
+/// Processor time of this process in seconds.
+double processorSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
+
+/// Bytes that are allocated.
+double allocatedBytes() {
+  const struct mallinfo2 Info = mallinfo2();
+  return static_cast<double>(Info.uordblks + Info.hblkhd);
+}
+
+template <typename Function> double secondsOf(Function Work) {
+  const double Start = processorSeconds();
+  Work();
+  return processorSeconds() - Start;
+}
+
+/// Members, targets, and what one member spends on an ordinary second and on a change.
+void measureControl(const fleet_size &Size) {
+  const double Before = allocatedBytes();
+  control_fleet Fleet(Size);
+  Fleet.start();
+  Fleet.run(seconds(60));
+  const auto Members = static_cast<double>(Size.Members);
+  json Row = {{"part", "control"},
+              {"members", Size.Members},
+              {"data_centres", Size.DataCentres},
+              {"targets", Size.Services * Size.TargetsPerService},
+              {"memory_mb_per_member", (allocatedBytes() - Before) / Members / 1e6}};
+
+  // An ordinary half minute.
+  constexpr double Length = 30;
+  const fleet_totals Start = Fleet.totals();
+  const double Quiet = secondsOf([&] { Fleet.run(seconds(30)); });
+  const auto PerMember = [&](std::uint64_t After, std::uint64_t Earlier) {
+    return static_cast<double>(After - Earlier) / Members / Length;
+  };
+  const fleet_totals End = Fleet.totals();
+  Row["core_percent"] = Quiet / Members / Length * 100;
+  Row["message_bytes_per_s"] = PerMember(End.MessageBytes, Start.MessageBytes);
+  Row["messages_per_s"] = PerMember(End.Messages, Start.Messages);
+  Row["probes_per_s"] = PerMember(End.Probes, Start.Probes);
+  Row["platform_reads_per_s"] = PerMember(End.Reads, Start.Reads) * Members;
+  Row["platform_watches_per_s"] = PerMember(End.Watches, Start.Watches) * Members;
+
+  // One change of the configuration, and one restart of a member.
+  Fleet.toggleTarget(0);
+  const double Change = secondsOf([&] {
+    const duration InForce = Fleet.runUntilInForce(seconds(30));
+    Row["change_in_force_s"] = std::chrono::duration<double>(InForce).count();
+    Fleet.run(seconds(10) - InForce);
+  });
+  Row["change_core_ms"] = std::max(0.0, Change - Quiet / 3) / Members * 1e3;
+  const fleet_totals BeforeRestart = Fleet.totals();
+  const double Restart = secondsOf([&] {
+    Fleet.restart(Size.Members / 2);
+    Fleet.run(seconds(30));
+  });
+  Row["restart_core_ms"] = std::max(0.0, Restart - Quiet) / Members * 1e3;
+  Row["restart_bytes"] =
+      (static_cast<double>(Fleet.totals().MessageBytes - BeforeRestart.MessageBytes) -
+       static_cast<double>(End.MessageBytes - Start.MessageBytes)) /
+      Members;
+  Row["restart_reads"] = Fleet.totals().Reads - BeforeRestart.Reads;
+  Row["all_ready"] = Fleet.allReady();
+  std::cout << Row.dump() << std::endl;
+}
+
+/// Memory of flow records.
+void measureRecords(std::size_t Count) {
+  const double Before = allocatedBytes();
+  flow_table Table(Count);
+  for (std::size_t I = 0; I < Count; ++I)
+    Table.insert({mixHash(1, I), mixHash(2, I)});
+  const double Bytes = (allocatedBytes() - Before) / static_cast<double>(Count);
+  std::cout << json{{"part", "records"}, {"records", Count}, {"bytes_per_record", Bytes}}.dump()
+            << std::endl;
+}
+
+/// Rebuild of the ownership table and of a view.
+void measureViews(std::size_t Members, std::size_t Targets) {
+  std::vector<member_view> Views;
+  for (std::size_t I = 0; I < Members; ++I)
+    Views.push_back({makeMemberId(std::to_string(I)), "a", "", {}, member_state::Ready, false});
+  ownership_table Table;
+  const double Build = secondsOf(
+      [&] { Table = ownership_table::build(Views, ownership_scope::DataCentre, "a", false); });
+
+  forwarding_view_parts Parts;
+  Parts.Members = Views;
+  Parts.Owners = Parts.NextOwners = Table;
+  for (std::size_t I = 0; I < Targets; ++I) {
+    ip_address Address;
+    Address.Bytes = {10, static_cast<std::uint8_t>(I >> 16U), static_cast<std::uint8_t>(I >> 8U),
+                     static_cast<std::uint8_t>(I)};
+    Parts.Targets.push_back({target_id{I + 1}, service_id{1}, {Address, 6081}, 1.0, true, false});
+  }
+  const double Before = allocatedBytes();
+  std::unique_ptr<forwarding_view> View;
+  const double Index = secondsOf([&] { View = std::make_unique<forwarding_view>(Parts); });
+  std::cout << json{{"part", "views"},        {"members", Members},
+                    {"targets", Targets},     {"ownership_table_ms", Build * 1e3},
+                    {"view_ms", Index * 1e3}, {"view_kb", (allocatedBytes() - Before) / 1e3}}
+                   .dump()
+            << std::endl;
+}
+
+/// Size of a configuration, and what one change of a target costs.
+void measureConfiguration(std::size_t Services, std::size_t TargetsPerService) {
+  constexpr std::size_t PartSize = 64 * 1024;
+  const fleet_size Size{1, 7, Services, TargetsPerService};
+  const configuration Before = makeConfiguration(Size);
+  configuration After;
+  const double Apply = secondsOf([&] {
+    const patch Patch{
+        "p",
+        0,
+        {set_target_intent{Before.Services.back().Name, Before.Services.back().Targets.back().Name,
+                           target_intent::Leaving}}};
+    After = applyPatch(Before, Patch);
+  });
+  std::vector<std::string> Parts;
+  const double Split = secondsOf([&] { Parts = splitConfiguration(Before, PartSize); });
+  const double Join = secondsOf([&] { joinConfiguration(1, Parts); });
+  const std::set<std::string> Known(Parts.begin(), Parts.end());
+  std::size_t Total = 0;
+  for (const std::string &Part : Parts)
+    Total += Part.size();
+  std::size_t Changed = 0;
+  std::size_t ChangedBytes = 0;
+  for (const std::string &Part : splitConfiguration(After, PartSize)) {
+    if (Known.contains(Part))
+      continue;
+    ++Changed;
+    ChangedBytes += Part.size();
+  }
+  std::cout << json{{"part", "configuration"},
+                    {"services", Services},
+                    {"targets", Services * TargetsPerService},
+                    {"bytes", Total},
+                    {"parts", Parts.size()},
+                    {"changed_parts", Changed},
+                    {"changed_bytes", ChangedBytes},
+                    {"apply_ms", Apply * 1e3},
+                    {"split_ms", Split * 1e3},
+                    {"join_ms", Join * 1e3}}
+                   .dump()
+            << std::endl;
+}
+
+void run(std::string_view Part) {
+  const bool All = Part.empty();
+  if (All || Part == "records")
+    for (const std::size_t Count : {10'000U, 100'000U, 1'000'000U})
+      measureRecords(Count);
+  if (All || Part == "views")
+    for (const std::size_t Scale : {1U, 4U, 15U, 60U})
+      measureViews(18 * Scale, 200 * Scale);
+  if (All || Part == "configuration")
+    for (const std::size_t Services : {15U, 150U, 1500U})
+      measureConfiguration(Services, 8);
+  if (All || Part == "control") {
+    measureControl({18, 3, 2, 9});
+    for (const std::size_t Scale : {1U, 2U, 4U})
+      measureControl({70 * Scale, 7, 55 * Scale, 8});
+    // Members and targets apart, to tell their slopes.
+    measureControl({70, 7, 220, 8});
+    measureControl({280, 7, 55, 8});
+  }
+}
+
+} // namespace
+} // namespace briarpoint::bench
+
+int main(int Argc, char **Argv) { briarpoint::bench::run(Argc > 1 ? Argv[1] : ""); }
