Add briarpointctl

Cause: operators need a tool for patches, status and drains.

Each outcome of a patch has its own exit code. A patch is sent to another balancer only if no connection was made, so that an unknown outcome is never hidden by a second submission; the tool prints the patch id and the command that repeats it safely. Nothing is repeated silently.

Conclusion: patch, get, history, status, drain, undrain, dump, watch and completion work against a server that answers from a table; the tool hasn't been run against the daemon yet.

--- /dev/null
+++ b/src/ctl/daemon_client.cpp
@@ -0,0 +1,86 @@
+#include "ctl/daemon_client.h"
+
+#include "ctl/ctl_error.h"
+#include "platform/http_call.h"
+
+#include <event2/event.h>
+
+#include <optional>
+
+namespace briarpoint {
+
+namespace {
+
+/// A dump of a balancer with 100,000 flows takes about 30 MB.
+constexpr std::size_t MaxAnswerBytes = 512'000'000;
+
+std::string describe(const endpoint &Server, const http_answer &Answer) {
+  const std::string Place = toString(Server) + ": ";
+  switch (Answer.Outcome) {
+  case http_answer::outcome::NotSent:
+    return Place + "can't connect";
+  case http_answer::outcome::NoAnswer:
+    return Place + "no answer within the time limit";
+  case http_answer::outcome::Answered:
+    break;
+  }
+  return Place + "status " + std::to_string(Answer.Status) + " " + Answer.Body;
+}
+
+} // namespace
+
+void daemon_client::base_deleter::operator()(event_base *Base) const { event_base_free(Base); }
+
+daemon_client::daemon_client(const ctl_options &Options)
+    : Options(Options), Base(event_base_new()) {}
+
+std::string daemon_client::get(const std::string &Target) const {
+  std::string Failures;
+  bool Answered = false;
+  for (const endpoint &Server : Options.Servers) {
+    http_answer Answer = getFrom(Server, Target);
+    Answered = Answer.Outcome == http_answer::outcome::Answered;
+    if (Answered && Answer.Status == 200)
+      return std::move(Answer.Body);
+    Failures += (Failures.empty() ? "" : "\n") + describe(Server, Answer);
+    // A balancer that answered knows as much as the others, so they aren't asked.
+    if (Answered)
+      break;
+  }
+  throw ctl_error(Answered ? exit_code::Failed : exit_code::Unreachable, Failures);
+}
+
+http_answer daemon_client::getFrom(const endpoint &Server, const std::string &Target) const {
+  return call(Server, false, Target, "");
+}
+
+http_answer daemon_client::post(const std::string &Target, const std::string &Body) const {
+  http_answer Answer;
+  for (const endpoint &Server : Options.Servers) {
+    Answer = call(Server, true, Target, Body);
+    if (Answer.Outcome != http_answer::outcome::NotSent)
+      break;
+  }
+  return Answer;
+}
+
+http_answer daemon_client::call(const endpoint &Server, bool Post, const std::string &Target,
+                                const std::string &Body) const {
+  http_request Request;
+  Request.Server = Server;
+  Request.Method = Post ? http_request::method::Post : http_request::method::Get;
+  Request.Target = Target;
+  Request.Body = Body;
+  Request.IdleLimit = Request.TotalLimit = Options.Timeout;
+  Request.MaxAnswerBytes = MaxAnswerBytes;
+  if (!Options.Token.empty())
+    Request.Headers.emplace_back("Authorization", "Bearer " + Options.Token.reveal());
+  std::optional<http_answer> Result;
+  const http_call Call(Base.get(), Request,
+                       [&Result](const http_answer &Answer) { Result = Answer; });
+  while (!Result)
+    event_base_loop(Base.get(), EVLOOP_ONCE);
+  return std::move(*Result);
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/tests/ctl/ctl_harness_support.cpp
@@ -0,0 +1,90 @@
+#include "ctl/run_ctl.h"
+#include "tests/ctl/ctl_harness.h"
+
+#include <event2/event.h>
+
+#include <future>
+#include <sstream>
+
+namespace briarpoint::test {
+
+namespace {
+
+const endpoint AnyPort{*parseIpAddress("127.0.0.1"), 0};
+
+} // namespace
+
+void ctl_harness::base_deleter::operator()(event_base *Base) const { event_base_free(Base); }
+
+ctl_harness::ctl_harness()
+    : Base(event_base_new()),
+      Server(std::make_unique<standins::http_service>(
+          Base.get(), AnyPort,
+          [this](const standins::http_service::request &Request) { handle(Request); })) {}
+
+ctl_harness::~ctl_harness() = default;
+
+void ctl_harness::answer(const std::string &Request, std::uint16_t Status,
+                         const std::string &Body) {
+  Answers[Request] = standins::http_service::response{Status, {}, Body};
+}
+
+void ctl_harness::ignore(const std::string &Request) { Answers[Request] = std::nullopt; }
+
+void ctl_harness::handle(const standins::http_service::request &Request) {
+  std::string Line = Request.Method + " " + Request.Path;
+  for (const auto &[Name, Value] : Request.Query)
+    Line.append("?").append(Name).append("=").append(Value);
+  Requests.push_back(Line);
+  if (Request.Method == "POST") {
+    PostBody = Request.Body;
+    const auto Token = Request.Headers.find("authorization");
+    PostToken = Token == Request.Headers.end() ? "" : Token->second;
+  }
+  const auto Found = Answers.find(Line);
+  if (Found == Answers.end())
+    Server->answer(Request.Id, {404, {}, "no such thing"});
+  else if (Found->second)
+    Server->answer(Request.Id, *Found->second);
+}
+
+std::string ctl_harness::address() const { return toString(Server->address()); }
+
+std::string ctl_harness::closedAddress() {
+  const std::unique_ptr<event_base, base_deleter> Other(event_base_new());
+  const standins::http_service Closed(Other.get(), AnyPort,
+                                      [](const standins::http_service::request &) {});
+  return toString(Closed.address());
+}
+
+ctl_harness::outcome ctl_harness::run(std::vector<std::string> Arguments) {
+  // A time limit among the arguments comes later and replaces this one.
+  Arguments.insert(Arguments.begin(), {"--timeout", "0.5"});
+  Arguments.insert(Arguments.end(), {"--server", address()});
+  return runPlain(Arguments);
+}
+
+ctl_harness::outcome ctl_harness::runPlain(const std::vector<std::string> &Arguments) {
+  std::ostringstream Out;
+  std::ostringstream Err;
+  const ctl_environment Environment{Out, Err,
+                                    [this](const std::string &Name) -> std::optional<std::string> {
+                                      const auto Found = Variables.find(Name);
+                                      return Found == Variables.end()
+                                                 ? std::nullopt
+                                                 : std::optional(Found->second);
+                                    },
+                                    [] { return std::string("new-id"); }, [](duration) {}};
+  // The tool blocks, so it runs in another thread while this one serves.
+  std::future<exit_code> Code =
+      std::async(std::launch::async, [&] { return runCtl(Arguments, Environment); });
+  while (Code.wait_for(std::chrono::milliseconds(1)) != std::future_status::ready)
+    event_base_loop(Base.get(), EVLOOP_NONBLOCK);
+  outcome Outcome;
+  Outcome.Code = Code.get();
+  Outcome.Out = Out.str();
+  Outcome.Err = Err.str();
+  return Outcome;
+}
+
+} // namespace briarpoint::test
--- a/tests/platform/http_harness_support.cpp
+++ b/tests/platform/http_harness_support.cpp
@@ -2,9 +2,10 @@
 #include "tests/platform/http_harness.h"
 
 #include <event2/event.h>
-#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <gtest/gtest.h>
+
 namespace briarpoint::test {
 
 namespace {
