Report platform limits as changes that need a restart

Cause: the object store takes its time limits when it is made, but a change of them was treated as effective in a running process.

Conclusion: only the limits of the operators' server can be reloaded.

--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -66,7 +66,8 @@
 settings parseSettings(std::string_view Text, const std::string &Source);
 
 /// Returns a finding for each difference that takes effect at a restart only. Log level, shutdown
-/// deadline, keys, operator token and limits can be changed in a running process.
+/// deadline, keys, operator token and the limits of the operators' server can be changed in a
+/// running process.
 std::vector<finding> findRestartChanges(const settings &Old, const settings &New,
                                         const std::string &Source);
 
--- a/src/config/settings_changes.cpp
+++ b/src/config/settings_changes.cpp
@@ -25,6 +25,8 @@
   Compare("platform", Old.Platform, New.Platform);
   Compare("configuration_file", Old.ConfigurationFile, New.ConfigurationFile);
   Compare("seeds", Old.ControlPlane.Seeds, New.ControlPlane.Seeds);
+  Compare("limits.platform_timeout", Old.Limits.PlatformTimeout, New.Limits.PlatformTimeout);
+  Compare("limits.platform_watch", Old.Limits.PlatformWatch, New.Limits.PlatformWatch);
   Compare("secrets.platform_token", Old.PlatformToken, New.PlatformToken);
   Compare("secrets.hash_seed", Old.DataPlane.HashSeed, New.DataPlane.HashSeed);
   visitDataPlaneFields([&](const char *Name, auto Member, auto /*Min*/, auto /*Max*/) {
