--- a/tests/control/fleet_support.cpp
+++ b/tests/control/fleet_support.cpp
@@ -73,6 +73,7 @@
     Object = {Expected + 1, Value};
     if (Key == Platform.LoseAnswersOf && Platform.LostAnswers > 0) {
       --Platform.LostAnswers;
+      Platform.Down |= Platform.DownAfterLoss;
       Queue.after(seconds(1), [Done] { Done({object_status::Unknown, 0, {}}); });
       return;
     }
--- a/tests/control/fleet_support.h
+++ b/tests/control/fleet_support.h
@@ -38,6 +38,8 @@
   /// Puts of this key take effect, but their answers are lost.
   std::string LoseAnswersOf;
   std::uint32_t LostAnswers = 0;
+  /// The platform goes down with such a loss.
+  bool DownAfterLoss = false;
   std::uint64_t Calls = 0;
   /// Control endpoints of the instances that the platform lists.
   std::map<std::string, std::string> Instances;
