Don't let data centres that are partly cut off oscillate

Two data centres that couldn't reach each other but both reached the third suspected, removed and readmitted each other's members all the time: each process changed its mind about others 45 times a minute, since each refutation that came through the third data centre cleared the suspicion.

- A dampened member stays suspected for 12 s after such a refutation, unless it is heard directly, and isn't declared dead meanwhile.
- Where two monitors of the own data centre live, they decide what is reachable from here, and accusers elsewhere don't.

--- a/src/core/member/member_controller.cpp
+++ b/src/core/member/member_controller.cpp
@@ -15,6 +15,10 @@
 /// A process that hears nobody declares others dead only after this time: it may be deaf itself,
 /// and would otherwise take over all flows.
 constexpr duration DeafPatience = std::chrono::seconds(10);
+/// How long a dampened member stays suspected after a refutation that came through others. Longer
+/// than its next suspicion takes: two data centres that reach each other only through a third would
+/// otherwise trust and suspect each other in turn.
+constexpr duration TrustDelay = std::chrono::seconds(12);
 constexpr std::size_t UsualQuorum = 2;
 
 } // namespace
@@ -75,6 +79,7 @@
   const bool Outdated = !Current || (Entry.isDead() && Sender.State != member_state::Dead);
   if (!Outdated) {
     Entry.Heard = true;
+    Entry.TrustAt = instant::min();
     expectHeartbeat(Entry, Now);
     Entry.Accusers.erase(Self.Id);
     evaluate(Entry, Now);
@@ -118,8 +123,10 @@
 
 void member_controller::replace(member_entry &Entry, const member_info &Update, instant Now) {
   const bool Newer = Update.Incarnation > Entry.Info.Incarnation;
-  if (Newer)
-    noteRefutation(Entry, Update, Now);
+  const bool Refuted =
+      Newer && (Entry.Suspected || Entry.isDead()) && Update.State != member_state::Joining;
+  if (Refuted)
+    noteRefutation(Entry, Now);
   const bool MovesInRing = Entry.Info.Id == NoMember || Entry.isDead() ||
                            Update.State == member_state::Dead ||
                            Entry.Info.DataCentre != Update.DataCentre;
@@ -136,27 +143,26 @@
     expectHeartbeat(Entry, Now);
     Entry.Accusers.clear();
     Entry.DeathClaims.clear();
-    Entry.Suspected = false;
+    // A process that starts again refutes nothing, and is trusted at once.
+    Entry.Suspected = Refuted && Now < Entry.TrustAt;
     Entry.DeadAt = Entry.SpreadUntil = Entry.ForgetAt = Never;
   }
   Updates.add(Update.Id, copies());
   Urgent = true;
 }
 
-void member_controller::noteRefutation(member_entry &Entry, const member_info &Update,
-                                       instant Now) const {
-  // A process that starts again refutes nothing.
-  const bool Refuted = (Entry.Suspected || Entry.isDead()) && Update.State != member_state::Joining;
-  if (!Refuted)
-    return;
+void member_controller::noteRefutation(member_entry &Entry, instant Now) const {
   ++Entry.Refutations;
   Entry.RefutationsLapse = Now + Settings.DampingWindow;
+  if (Entry.isDamped())
+    Entry.TrustAt = Now + TrustDelay;
 }
 
 void member_controller::acceptDeath(member_id Sender, member_entry &Entry, instant Now) {
   // A death is believed at once of a member that is suspected or leaving. Otherwise it counts as
   // one accusation, so that a single process that hears nothing can't remove the others.
-  if (Entry.Suspected || Entry.Info.State == member_state::Leaving)
+  const bool Accused = Entry.Suspected && Entry.DeadAt != Never;
+  if (Accused || Entry.Info.State == member_state::Leaving)
     markDead(Entry, Now);
   else
     Entry.DeathClaims[Sender] = Now + DeathClaimLife;
@@ -271,6 +277,16 @@
   return std::max<std::size_t>(1, std::min(Needed, Monitors));
 }
 
+std::size_t member_controller::countNearMonitors(const member_entry &Entry) const {
+  std::size_t Count = 0;
+  for (const member_id Monitor : Entry.Monitors) {
+    const member_entry *Other = find(Monitor);
+    const bool Near = Other == nullptr || Other->Info.DataCentre == Self.DataCentre;
+    Count += Near && isAlive(Monitor) ? 1 : 0;
+  }
+  return Count;
+}
+
 bool member_controller::isAlive(member_id Member) const {
   if (Member == Self.Id)
     return true;
@@ -309,14 +325,24 @@
   const bool Fresh = Entry.Monitored && Entry.Heard && Now < Entry.SilentAt;
   const bool FirstHand = Entry.Accusers.contains(Self.Id);
   const bool Agreed = Accusers >= quorum(Entry);
-  const bool Suspected = !Fresh && (FirstHand || (Accusers > 0 && (Agreed || Near >= UsualQuorum)));
+  // Monitors of this data centre decide what is reachable from here; those of others count only
+  // where there are too few.
+  const bool Heeded =
+      countNearMonitors(Entry) >= UsualQuorum ? Near >= UsualQuorum : Accusers > 0 && Agreed;
+  const bool Accused = FirstHand || Heeded;
+  if (Accused && Entry.isDamped())
+    Entry.TrustAt = Now + TrustDelay;
+  const bool Suspected = !Fresh && (Accused || Now < Entry.TrustAt);
   if (Suspected != Entry.Suspected) {
     Entry.Suspected = Suspected;
-    Entry.DeadAt = Suspected ? Now + Settings.DeadAfter : Never;
     ++Generation;
   }
+  if (!Suspected || !Accused)
+    Entry.DeadAt = Never;
+  else if (Entry.DeadAt == Never)
+    Entry.DeadAt = Now + Settings.DeadAfter;
   const duration Patience = Now >= DeafAt ? DeafPatience : duration::zero();
-  if (Suspected && Agreed && Now >= Entry.DeadAt && Now - Entry.DeadAt >= Patience)
+  if (Suspected && Accused && Agreed && Now >= Entry.DeadAt && Now - Entry.DeadAt >= Patience)
     markDead(Entry, Now);
 }
 
--- a/src/core/member/member_controller.h
+++ b/src/core/member/member_controller.h
@@ -86,7 +86,7 @@
   void refute(std::uint64_t Doubted);
   void merge(member_id Sender, const member_info &Update, instant Now);
   void replace(member_entry &Entry, const member_info &Update, instant Now);
-  void noteRefutation(member_entry &Entry, const member_info &Update, instant Now) const;
+  void noteRefutation(member_entry &Entry, instant Now) const;
   void acceptDeath(member_id Sender, member_entry &Entry, instant Now);
   void markDead(member_entry &Entry, instant Now);
   void accuse(member_id Sender, const member_suspicion &Suspicion, instant Now);
@@ -95,6 +95,7 @@
   void watchSilence(member_entry &Entry, instant Now);
   void evaluate(member_entry &Entry, instant Now);
   std::size_t quorum(const member_entry &Entry) const;
+  std::size_t countNearMonitors(const member_entry &Entry) const;
   bool isAlive(member_id Member) const;
   duration suspectAfter(const member_entry &Entry) const;
   void expectHeartbeat(member_entry &Entry, instant Now) const;
--- a/src/core/member/member_entry.h
+++ b/src/core/member/member_entry.h
@@ -29,6 +29,8 @@
   /// claims aren't repeated by heartbeats.
   std::map<member_id, instant> DeathClaims;
   bool Suspected = false;
+  /// Until then a dampened member stays suspected after a refutation, unless it is heard directly.
+  instant TrustAt = instant::min();
   instant DeadAt = Never;
   /// Set for a dead member: when its death isn't spread any more, and when it is forgotten.
   instant SpreadUntil = Never;
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -149,6 +149,24 @@
   }
 }
 
+// Guards against two data centres that can't reach each other, but both reach the third, and that
+// remove and readmit each other all the time.
+TEST_P(ready_fleet, PartlyCutDataCentresDoNotOscillate) {
+  Fleet.Cut = [](std::size_t From, std::size_t To) {
+    return From % 3 != 2 && To % 3 != 2 && From % 3 != To % 3;
+  };
+  const auto Anybody = [](std::size_t) { return true; };
+  Fleet.run(minutes(1));
+  const std::size_t Early = doubts(Anybody);
+  Fleet.run(minutes(5));
+  const double PerMinute = static_cast<double>(doubts(Anybody) - Early) / 5 / FleetSize;
+  RecordProperty("doubts_per_hour", static_cast<int>(PerMinute * 60));
+  EXPECT_LE(PerMinute, 1.0);
+  Fleet.Cut = [](std::size_t, std::size_t) { return false; };
+  timeToSee(range(0, FleetSize), seconds(60));
+  EXPECT_TRUE(Fleet.allSee(range(0, FleetSize)));
+}
+
 // Guards against healthy members that are removed because some messages are lost.
 TEST_P(ready_fleet, MembersSurviveTenPercentLoss) {
   Fleet.Loss = 0.1;
