Tell admission control of each refused setup

Cause: only setups that failed after all retries counted as refusals, so a tolerable share of 5% meant that 5% of the critical setups failed. Setups that timed out at a target that accepts nothing counted as well, so an unreachable target cut the admission to all others. Change: each refusal counts when it happens; a timeout counts only if the target accepted another setup within the setup timeout.

--- a/src/core/data/reply_handler.cpp
+++ b/src/core/data/reply_handler.cpp
@@ -147,12 +147,14 @@
   }
   ++Targets[Entry.Target].Seen.Refused;
   Selector.recordFailure(Entry.Target, Now);
+  // Each refusal counts, also if another target accepts the setup later: admission control has to
+  // act before setups fail.
+  Admission.recordOutcome(Entry.Service, true, Now);
   const service_view *Service = Matcher.match(Reply.Key.Service, Reply.Key.Protocol).Service;
   if (Service != nullptr && retry(Entry, *Service, Now))
     return;
 
   // No other target: the caller is told.
-  Admission.recordOutcome(Entry.Service, true, Now);
   releaseSetup(Entry);
   ++Entry.Revision;
   Store.setPhase(Entry, flow_phase::Closed, Now);
@@ -200,7 +202,9 @@
       continue;
     ++Target.Seen.TimedOut;
     Selector.recordFailure(Entry->Target, Now);
-    Admission.recordOutcome(Entry->Service, true, Now);
+    // A target that accepts nothing at all is down, not overloaded: fewer admissions wouldn't help.
+    if (Now - Target.Progress < Settings.SetupTimeout)
+      Admission.recordOutcome(Entry->Service, true, Now);
   }
 }
 
