--- a/measure/load_cases.cpp
+++ b/measure/load_cases.cpp
@@ -39,9 +39,10 @@
 }
 
 void overload(scenario &Scenario, report &Report) {
-  // Admission settles before the figures count.
-  Scenario.run(seconds(30));
+  // The long-lived flows are open; now the load starts. Admission settles before the figures count.
   traffic &Flows = Scenario.flows();
+  Flows.setNewFlows(3000.0 / Scenario.scale());
+  Scenario.run(seconds(30));
   Flows.resetCounts();
   Scenario.run(seconds(55));
   // Flows that open near the end can't be delivered within the run.
@@ -84,6 +85,8 @@
   // A short listen backlog: requests wait for at most about 8 service times.
   Traffic.QueueLimit = 8 * Variant.Fixture.Deployment.Slots;
   Traffic.ServiceTime = serviceTime(Variant, 1.5);
+  Traffic.NewFlows = 0.0;
+  Traffic.RampUp = seconds(60);
 }
 
 void prepareSkewed(variant &Variant) {
--- a/measure/request_schedule.h
+++ b/measure/request_schedule.h
@@ -10,7 +10,7 @@
   None,
   /// Owners treat themselves as converged although their view just changed.
   NoConvergence,
-  /// Owners send to the target without waiting for the other owners.
+  /// Owners send to the target at once and keep their records to themselves.
   NoReplication,
 };
 
--- a/measure/scenario.cpp
+++ b/measure/scenario.cpp
@@ -155,7 +155,7 @@
   const traffic_counts &Counts = Flows.counts();
   Report.figure("simulated_seconds",
                 std::chrono::duration<double>(Exchange.now() - MeasuredSince).count());
-  Report.figure("new_flows_per_second", Variant.Traffic.NewFlows);
+  Report.figure("new_flows_per_second", Flows.newFlows());
   Report.figure("open_flows", Flows.openFlows());
   Report.figure("requests", Counts.Requests);
   Report.figure("setups_rejected", Counts.Rejected);
--- a/measure/scenario.h
+++ b/measure/scenario.h
@@ -21,6 +21,7 @@
   /// Starts the balancers, puts the configuration in force and opens the flows; the counts start
   /// afterwards. Returns false if the balancers don't get ready or the patch isn't accepted.
   bool warmUp();
+  std::uint32_t scale() const { return Variant.Scale; }
   void run(duration Span) { Exchange.runUntil(Exchange.now() + Span); }
   /// Schedules an action at a time from now.
   void after(duration Span, std::function<void()> Action) {
--- a/measure/traffic.h
+++ b/measure/traffic.h
@@ -21,6 +21,7 @@
   void start(fixture &Exchange);
   /// Changes the rate of new short-lived flows.
   void setNewFlows(double Rate) { Settings.NewFlows = Rate; }
+  double newFlows() const { return Settings.NewFlows; }
 
   const traffic_counts &counts() const { return Counts; }
   /// Forgets the counts and balance samples so far.
--- a/src/core/request/priority_admission.cpp
+++ b/src/core/request/priority_admission.cpp
@@ -28,21 +28,18 @@
   if (Accepted + Refused >= Settings.MinOutcomes)
     adaptLevel();
   allocate();
-  Accepted *= Settings.Decay;
-  Refused *= Settings.Decay;
+  Accepted *= Settings.OutcomeDecay;
+  Refused *= Settings.OutcomeDecay;
   for (double &Count : Offered)
-    Count *= Settings.Decay;
+    Count *= Settings.OfferedDecay;
 }
 
 void priority_admission::adaptLevel() {
-  // Under overload the targets accept as much as they can serve: the level is cut to that in one
-  // step, and a little further while they refuse too much: refused setups are retried elsewhere, so
-  // that most of them are accepted in the end. Raising is gradual.
-  const double Total = std::accumulate(Offered.begin(), Offered.end(), 0.0);
-  if (Refused > Settings.ToleratedRefusals * (Accepted + Refused))
-    Level = std::min(Level, Accepted / std::max(Total, 1.0)) * (1.0 - Settings.Cut);
-  else
-    Level += Settings.Raise;
+  // Proportional to the excess, so that a burst of refusals cuts deeply and noise of small counts
+  // averages out. Raising is slow because the tolerable share is small.
+  const double Share = Refused / (Accepted + Refused);
+  const double Excess = Share - Settings.ToleratedRefusals;
+  Level *= 1.0 - (Excess > 0.0 ? Settings.CutGain : Settings.RaiseGain) * Excess;
   Level = std::clamp(Level, Settings.MinLevel, 1.0);
 }
 
--- a/src/core/request/priority_admission_settings.h
+++ b/src/core/request/priority_admission_settings.h
@@ -14,17 +14,19 @@
   double MinOutcomes = 10.0;
   /// Share of refusals that is tolerated. Arrivals are random, so a target with few slots refuses
   /// now and then below its capacity; the refused attempt goes to another target.
-  double ToleratedRefusals = 0.05;
-  /// Level added after a window with tolerable refusals.
-  double Raise = 0.005;
-  /// Share of the level that is taken away after a window with more refusals, besides what the
-  /// targets didn't accept.
-  double Cut = 0.01;
+  double ToleratedRefusals = 0.07;
+  /// Relative change of the level per window and excess share of refusals. If everything is
+  /// refused, the level falls to a third within a second; without refusals it rises by 3.5% a
+  /// second.
+  double CutGain = 0.2;
+  double RaiseGain = 0.1;
   double MinLevel = 0.05;
   /// Share of the admitted requests that each lower class keeps.
   double MinShare = 0.05;
-  /// Factor on the counts at the end of a window; they cover about two seconds.
-  double Decay = 0.9;
+  /// Factors on the counts at the end of a window: outcomes cover about one second, so that the
+  /// level reacts to its own change, offered requests about four.
+  double OutcomeDecay = 0.85;
+  double OfferedDecay = 0.95;
 
   auto operator<=>(const priority_admission_settings &) const = default;
 };
