--- a/measure/scenario.cpp
+++ b/measure/scenario.cpp
@@ -170,11 +170,14 @@
   for (const std::size_t I : Exchange.running()) {
     const data_plane_counters Own = Exchange.find(I)->data().counters();
     Sum.Records += Own.Records;
+    for (std::size_t Class = 0; Class < RequestClassCount; ++Class)
+      Sum.Rejected[Class] += Own.Rejected[Class];
     for (std::size_t Reason = 0; Reason < DropReasonCount; ++Reason)
       Sum.Dropped[Reason] += Own.Dropped[Reason];
   }
   Report.figure("records_held", Sum.Records);
   Report.figure("dropped_by_reason", Sum.Dropped);
+  Report.figure("admission_rejected_by_class", Sum.Rejected);
   Report.mix(Exchange.eventHash());
 }
 
--- a/src/core/request/priority_admission.cpp
+++ b/src/core/request/priority_admission.cpp
@@ -63,6 +63,9 @@
     if (Offered[I] > 0.0)
       Admission[I] = (Granted[I] + More) / Offered[I];
   }
+  // The counts scatter, so a class that gets nearly all it needs isn't cut at random.
+  if (Admission[0] >= Settings.FullAbove)
+    Admission[0] = 1.0;
 }
 
 } // namespace briarpoint
--- a/src/core/request/priority_admission_settings.h
+++ b/src/core/request/priority_admission_settings.h
@@ -21,6 +21,8 @@
   double CutGain = 0.2;
   double RaiseGain = 0.1;
   double MinLevel = 0.05;
+  /// Share of the most important class from which all of it is admitted.
+  double FullAbove = 0.8;
   /// Share of the admitted requests that each lower class keeps.
   double MinShare = 0.05;
   /// Factors on the counts at the end of a window: outcomes cover about one second, so that the
