--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -12,7 +12,7 @@
 namespace briarpoint {
 
 /// A request to send.
-struct http_call {
+struct outgoing_request {
   endpoint Server;
   /// "GET" or "POST".
   std::string Method = "GET";
@@ -25,6 +25,10 @@
   std::size_t MaxResponse = 1'100'000;
 };
 
+/// Approximate size on the wire: start line, header fields and body.
+std::size_t wireSize(const outgoing_request &Request);
+std::size_t wireSize(const http_response &Response);
+
 /// HTTP/1.1 client on an event loop, by libevent. Each call uses a connection of its own.
 class http_client {
 public:
@@ -39,7 +43,7 @@
 
   /// Sends a request. \p Done is called once, with nothing if there was no complete response in
   /// time.
-  void send(const http_call &Call, callback Done);
+  void send(const outgoing_request &Call, callback Done);
 
 private:
   struct state;
