--- a/measure/scenario.cpp
+++ b/measure/scenario.cpp
@@ -155,7 +155,7 @@
   const traffic_counts &Counts = Flows.counts();
   Report.figure("simulated_seconds",
                 std::chrono::duration<double>(Exchange.now() - MeasuredSince).count());
-  Report.figure("new_flows_per_second", Variant.Traffic.NewFlows);
+  Report.figure("new_flows_per_second", Flows.newFlows());
   Report.figure("open_flows", Flows.openFlows());
   Report.figure("requests", Counts.Requests);
   Report.figure("setups_rejected", Counts.Rejected);
@@ -170,11 +170,14 @@
   for (const std::size_t I : Exchange.running()) {
     const data_plane_counters Own = Exchange.find(I)->data().counters();
     Sum.Records += Own.Records;
+    for (std::size_t Class = 0; Class < RequestClassCount; ++Class)
+      Sum.Rejected[Class] += Own.Rejected[Class];
     for (std::size_t Reason = 0; Reason < DropReasonCount; ++Reason)
       Sum.Dropped[Reason] += Own.Dropped[Reason];
   }
   Report.figure("records_held", Sum.Records);
   Report.figure("dropped_by_reason", Sum.Dropped);
+  Report.figure("admission_rejected_by_class", Sum.Rejected);
   Report.mix(Exchange.eventHash());
 }
 
