Keep the record of a half-closed flow for an hour

Cause: one FIN marked a flow as closed, and closed flows are forgotten after 60 s. A caller that closed its side and waited longer for its reply lost the record; its next segment went to the default target, which resets the flow. Change: a flow is closed by a FIN of both sides or a RST. Until then it has a phase of its own, with an idle time of 1 h (setting half_closed_idle). Figures: the new test KeepsItsTargetWhileTheReplyTakesLong finds no record after 120 s before, and the record at all four owners after. Conclusion: a long report after a half-closed request arrives whole.

--- a/src/config/settings_fields.h
+++ b/src/config/settings_fields.h
@@ -19,6 +19,7 @@
   Visit("max_flows", &s::MaxFlows, 1000, 100'000'000);
   Visit("tcp_idle", &s::TcpIdle, minutes(1), hours(7 * 24));
   Visit("udp_idle", &s::UdpIdle, seconds(1), hours(24));
+  Visit("half_closed_idle", &s::HalfClosedIdle, minutes(1), hours(7 * 24));
   Visit("close_hold", &s::CloseHold, seconds(1), minutes(10));
   Visit("setup_timeout", &s::SetupTimeout, milliseconds(100), minutes(1));
   Visit("tcp_refresh", &s::TcpRefresh, seconds(10), hours(24));
--- a/src/core/data/data_plane_settings.h
+++ b/src/core/data/data_plane_settings.h
@@ -15,6 +15,8 @@
   std::size_t MaxFlows = 1'000'000;
   duration TcpIdle = std::chrono::hours(24);
   duration UdpIdle = std::chrono::seconds(180);
+  /// Idle time of a flow that one side has finished.
+  duration HalfClosedIdle = std::chrono::hours(1);
   /// How long the record of a closed flow is kept.
   duration CloseHold = std::chrono::seconds(60);
   /// How long a setup may wait for the target's first reply.
--- a/src/core/data/flow_store.cpp
+++ b/src/core/data/flow_store.cpp
@@ -74,6 +74,14 @@
   scheduleRefresh(Entry, Now);
 }
 
+bool flow_store::advance(flow_entry &Entry, flow_phase Phase, instant Now) {
+  if (Entry.Phase == Phase)
+    return false;
+  ++Entry.Revision;
+  setPhase(Entry, Phase, Now);
+  return true;
+}
+
 void flow_store::erase(flow_entry &Entry) {
   target_state &Target = Targets[Entry.Target];
   --Target.Entries;
--- a/src/core/data/flow_store.h
+++ b/src/core/data/flow_store.h
@@ -40,6 +40,9 @@
 
   void setTarget(flow_entry &Entry, std::uint32_t Target);
   void setPhase(flow_entry &Entry, flow_phase Phase, instant Now);
+  /// Sets a phase that this balancer found out, with a higher revision. Returns false if the entry
+  /// is in that phase already.
+  bool advance(flow_entry &Entry, flow_phase Phase, instant Now);
   void erase(flow_entry &Entry);
 
   /// Sets the expiry for a flow that was used now.
@@ -83,7 +86,9 @@
       return Settings.UdpIdle;
     // An opening flow whose target never replies is forgotten as soon as a closed one, so that a
     // flood of SYNs can't fill the table for a day.
-    return Entry.Phase == flow_phase::Opening ? Settings.CloseHold : Settings.TcpIdle;
+    if (Entry.Phase == flow_phase::Opening)
+      return Settings.CloseHold;
+    return Entry.Phase == flow_phase::Established ? Settings.TcpIdle : Settings.HalfClosedIdle;
   }
   void updateCounted(flow_entry &Entry);
   bool isAbandoned(const flow_entry &Entry, instant Now, const forwarding_view &View) const;
--- a/src/core/data/reply_handler.cpp
+++ b/src/core/data/reply_handler.cpp
@@ -105,10 +105,10 @@
   }
   if (Packet.has(TcpRst | TcpFin)) {
     releaseSetup(Entry);
-    if (Entry.Phase != flow_phase::Closed) {
-      ++Entry.Revision;
-      Store.setPhase(Entry, flow_phase::Closed, Now);
-    }
+    Store.advance(Entry,
+                  Packet.has(TcpRst) ? flow_phase::Closed
+                                     : phaseAfterFin(Entry.Phase, flow_side::Target),
+                  Now);
   } else if (Entry.Phase == flow_phase::Opening) {
     accept(Entry, Now);
   }
@@ -136,8 +136,7 @@
   Selector.recordSuccess(Entry.Target);
   Admission.recordOutcome(Entry.Service, false, Now);
   releaseSetup(Entry);
-  ++Entry.Revision;
-  Store.setPhase(Entry, flow_phase::Established, Now);
+  Store.advance(Entry, flow_phase::Established, Now);
 }
 
 void reply_handler::handleRefusal(flow_entry &Entry, const reply &Reply, instant Now) {
@@ -156,8 +155,7 @@
 
   // No other target: the caller is told.
   releaseSetup(Entry);
-  ++Entry.Revision;
-  Store.setPhase(Entry, flow_phase::Closed, Now);
+  Store.advance(Entry, flow_phase::Closed, Now);
   replicate(Entry, Reply, Now);
 }
 
--- a/src/core/filter/flow_lookup_filter.cpp
+++ b/src/core/filter/flow_lookup_filter.cpp
@@ -39,15 +39,14 @@
     return filter_result::Continue;
   }
   if (Context.Packet.has(TcpFin | TcpRst)) {
-    if (Entry.Phase != flow_phase::Closed) {
-      ++Entry.Revision;
-      Store.setPhase(Entry, flow_phase::Closed, Context.Now);
-    }
+    Store.advance(Entry,
+                  Context.Packet.has(TcpRst) ? flow_phase::Closed
+                                             : phaseAfterFin(Entry.Phase, flow_side::Caller),
+                  Context.Now);
     Context.Replicates = true;
   } else if (Entry.Phase == flow_phase::Opening) {
     // The caller goes on, so it saw the target's SYN-ACK, which another owner passed.
-    ++Entry.Revision;
-    Store.setPhase(Entry, flow_phase::Established, Context.Now);
+    Store.advance(Entry, flow_phase::Established, Context.Now);
     Context.Replicates = true;
   }
   return filter_result::Continue;
--- a/src/core/filter/forward_filter.cpp
+++ b/src/core/filter/forward_filter.cpp
@@ -34,15 +34,9 @@
   return filter_result::Done;
 }
 
-void forward_filter::close(flow_entry &Entry, instant Now) {
-  ++Entry.Revision;
-  Store.setPhase(Entry, flow_phase::Closed, Now);
-}
-
 void forward_filter::endDead(packet_context &Context) {
   flow_entry &Entry = *Context.Entry;
-  if (Entry.Phase != flow_phase::Closed) {
-    close(Entry, Context.Now);
+  if (Store.advance(Entry, flow_phase::Closed, Context.Now)) {
     ++Output.counters().FlowsReset;
   }
   // A RST is never answered.
@@ -54,7 +48,7 @@
 
 void forward_filter::endSilent(packet_context &Context) {
   flow_entry &Entry = *Context.Entry;
-  close(Entry, Context.Now);
+  Store.advance(Entry, flow_phase::Closed, Context.Now);
   ++Output.counters().FlowsSilent;
   ++Targets[Entry.Target].Seen.Silent;
   Selector.recordFailure(Entry.Target, Context.Now);
--- a/src/core/filter/forward_filter.h
+++ b/src/core/filter/forward_filter.h
@@ -20,7 +20,6 @@
   filter_result apply(packet_context &Context) override;
 
 private:
-  void close(flow_entry &Entry, instant Now);
   void endDead(packet_context &Context);
   void endSilent(packet_context &Context);
 
--- a/src/core/flow/flow_record.h
+++ b/src/core/flow/flow_record.h
@@ -2,21 +2,11 @@
 #define BRIARPOINT_CORE_FLOW_FLOW_RECORD_H
 
 #include "base/ids.h"
+#include "core/flow/flow_phase.h"
 #include "net/flow_id.h"
 
 namespace briarpoint {
 
-/// Phase of a flow as its owners know it.
-enum class flow_phase : std::uint8_t {
-  /// The first packet was sent to the target; nothing came back yet.
-  Opening,
-  /// The target replied.
-  Established,
-  /// FIN or RST was seen. The record is kept for the hold time, so that a reused 5-tuple keeps its
-  /// target.
-  Closed,
-};
-
 /// What the owners of a flow share about it. It holds no instants, because clocks of processes
 /// differ; a receiver computes its own deadlines.
 struct flow_record {
--- a/src/daemon/status_builder.cpp
+++ b/src/daemon/status_builder.cpp
@@ -45,6 +45,10 @@
     return "opening";
   case flow_phase::Established:
     return "established";
+  case flow_phase::CallerFinished:
+    return "caller_finished";
+  case flow_phase::TargetFinished:
+    return "target_finished";
   case flow_phase::Closed:
     break;
   }
--- a/tests/data/tcp_flow_test.cpp
+++ b/tests/data/tcp_flow_test.cpp
@@ -211,13 +211,42 @@
   EXPECT_EQ(observed(Target).Silent, 1U);
 }
 
-/// Both sides closed the flow.
-class fabric_with_closed_flow : public fabric_with_established_flow {
+/// The caller sent FIN and waits for the rest of the reply.
+class fabric_with_half_closed_flow : public fabric_with_established_flow {
 protected:
   void SetUp() override {
     fabric_with_established_flow::SetUp();
     send(TcpFin | TcpAck, Isn + 1, 5001);
     EXPECT_EQ(reached(), Target);
+    forget();
+  }
+};
+
+// Guards against forgetting a flow whose caller closed its side early and waits longer for the
+// reply than closed flows are held.
+TEST_F(fabric_with_half_closed_flow, KeepsItsTargetWhileTheReplyTakesLong) {
+  Net.advance(2 * Net.Settings.CloseHold);
+  for (std::size_t Place = 0; Place < OwnerCount; ++Place) {
+    SCOPED_TRACE(Place);
+    const flow_record *Record = Net.recordAt(owner(Place), Key);
+    ASSERT_NE(Record, nullptr);
+    EXPECT_EQ(Record->Phase, flow_phase::CallerFinished);
+  }
+  send(TcpAck, Isn + 2, 6001);
+  EXPECT_EQ(reached(), Target);
+}
+
+// Guards against a RST after a FIN that leaves the flow counted as open.
+TEST_F(fabric_with_half_closed_flow, IsClosedByReset) {
+  answer(Target, TcpRst | TcpAck, 5001, Isn + 2);
+  EXPECT_EQ(Net.recordAt(owner(0), Key)->Phase, flow_phase::Closed);
+}
+
+/// Both sides closed the flow.
+class fabric_with_closed_flow : public fabric_with_half_closed_flow {
+protected:
+  void SetUp() override {
+    fabric_with_half_closed_flow::SetUp();
     answer(Target, TcpFin | TcpAck, 5001, Isn + 2);
     EXPECT_EQ(flagsAtCaller(), TcpFin | TcpAck);
     forget();
