Name the list of accepted patches as briarpointctl reads it

Cause: briarpointctl history did not understand the response of GET /v1/history. Change: the list is the field "history"; a test compares the whole list.

--- a/src/daemon/control_task.cpp
+++ b/src/daemon/control_task.cpp
@@ -269,13 +269,13 @@
       Done(std::nullopt);
       return;
     }
-    nlohmann::json Document = {{"version", 0}, {"patches", nlohmann::json::array()}};
+    nlohmann::json Document = {{"version", 0}, {"history", nlohmann::json::array()}};
     try {
       if (Result.Status == object_status::Ok) {
         const config_head Head = parseConfigHead(Result.Value);
         Document["version"] = Head.Version;
         for (const accepted_patch &Patch : Head.Patches)
-          Document["patches"].push_back({{"id", Patch.Id}, {"version", Patch.Version}});
+          Document["history"].push_back({{"id", Patch.Id}, {"version", Patch.Version}});
       }
     } catch (const findings_error &) {
       // What can't be read is as good as not there.
--- a/tests/daemon/control_task_test.cpp
+++ b/tests/daemon/control_task_test.cpp
@@ -78,7 +78,9 @@
   for (std::size_t I = 0; I < 3; ++I) {
     EXPECT_TRUE(Group.runUntil([&] { return status(I)["version"] == 1; }));
     EXPECT_EQ(Group.call(I, "GET", "/v1/config").Headers.at("Config-Version"), "1");
-    EXPECT_NE(Group.call(I, "GET", "/v1/history").Body.find("add-gate"), std::string::npos);
+    const auto History = nlohmann::json::parse(Group.call(I, "GET", "/v1/history").Body);
+    EXPECT_EQ(History["version"], 1);
+    EXPECT_EQ(History["history"], nlohmann::json::parse(R"([{"id":"add-gate","version":1}])"));
     EXPECT_EQ(Group.call(I, "GET", "/v1/config/0").Status, 200);
     EXPECT_EQ(Group.call(I, "GET", "/v1/config/2").Status, 404);
   }
