--- a/measure/fault_cases.cpp
+++ b/measure/fault_cases.cpp
@@ -11,9 +11,9 @@
   fixture &Exchange = Scenario.exchange();
   // One.
   Scenario.after(seconds(2), [&] { Exchange.crash(Scenario.pickBalancer()); });
-  // Three of one data centre at once, so that with scope data_centre up to three owners of a flow are
-  // hit. The four copies of idle flows are restored before: 2 KB/s need 70 s for the records of a
-  // crashed balancer of six. A fourth failure within that time isn't covered by the design.
+  // Three of one data centre at once, so that with scope data_centre up to three owners of a flow
+  // are hit. The four copies of idle flows are restored before: 2 KB/s need 70 s for the records of
+  // a crashed balancer of six. A fourth failure within that time isn't covered by the design.
   Scenario.after(seconds(120), [&] {
     const std::size_t DataCentre = Exchange.random().below(DataCentreCount);
     for (int I = 0; I < 3; ++I)
