--- a/measure/request_schedule.cpp
+++ b/measure/request_schedule.cpp
@@ -70,7 +70,7 @@
   void confirm(std::size_t From, const request_record &Record,
                const std::shared_ptr<std::array<bool, NodeCount>> &Stored);
   void execute(const request_record &Record, std::size_t Owner, instant HandedOverAt);
-  void report(request_id Id, std::function<void(node &)> Deliver);
+  void report(request_id Id, const std::function<void(node &)> &Deliver);
 
   schedule_fault Fault;
   seeded_random Random;
@@ -222,9 +222,9 @@
   report(Record.Id, [this, Id = Record.Id](node &Self) { Self.Ledger.handleAnswer(Id, Now); });
 }
 
-void schedule::report(request_id Id, std::function<void(node &)> Deliver) {
+void schedule::report(request_id Id, const std::function<void(node &)> &Deliver) {
   // Any balancer gets the answer and passes it to the owner that it knows of.
-  toNode(Random.below(NodeCount), [this, Id, Deliver = std::move(Deliver)](node &Ingress) {
+  toNode(Random.below(NodeCount), [this, Id, Deliver](node &Ingress) {
     const std::size_t Owner = firstOwner(Ingress, Id);
     if (Owner == Ingress.Index)
       Deliver(Ingress);
--- a/measure/scenario.h
+++ b/measure/scenario.h
@@ -69,7 +69,6 @@
   std::size_t Pending = 0;
   std::uint32_t Patches = 0;
   std::array<std::uint32_t, 2> NextTarget{100, 100};
-  bool Fell = false;
   instant MeasuredSince{};
 };
 
