--- a/measure/request_schedule.cpp
+++ b/measure/request_schedule.cpp
@@ -55,7 +55,7 @@
   schedule_result run();
 
   // Network: a closure that runs later, perhaps twice or never.
-  void message(std::function<void()> Deliver, bool MayDuplicate = true);
+  void message(const std::function<void()> &Deliver, bool MayDuplicate = true);
   void toNode(std::size_t To, std::function<void(node &)> Deliver);
   std::size_t firstOwner(const node &From, request_id Id) const;
   std::vector<std::size_t> ranking(request_id Id) const;
@@ -145,7 +145,7 @@
     Node->Ledger.setConvergedAt(Now);
 }
 
-void schedule::message(std::function<void()> Deliver, bool MayDuplicate) {
+void schedule::message(const std::function<void()> &Deliver, bool MayDuplicate) {
   const bool Twice = MayDuplicate && Random.unit() < Duplication;
   for (int Copy = 0; Copy < (Twice ? 2 : 1); ++Copy)
     if (Random.unit() >= Loss)
