Don't reset flows of targets behind a partition, and send less load gossip

Cause: probes notice a partition before the membership does, and targets beyond it were declared dead, so the owners reset their flows. Each of three probers spread the load of a target. Replies from a kernel's Geneve interface come from any source port and were dropped as unknown. Change: a target that doesn't answer, in a data centre of which half of the balancers are lost, gets no new flows but isn't dead; one of another data centre counts as dead 5 s later. Only the first prober spreads load. Replies are matched by address and service.

--- a/measure/request_cases.cpp
+++ b/measure/request_cases.cpp
@@ -11,6 +11,7 @@
   report Report("at_most_once", Seed);
   schedule_result Sum;
   const std::uint32_t Schedules = 10'000 / Scale;
+  std::uint32_t Finished = 0;
   for (std::uint32_t I = 0; I < Schedules; ++I) {
     const schedule_result Result = runSchedule(mixHash(Seed, I), schedule_fault::None);
     Sum.Requests += Result.Requests;
@@ -23,7 +24,7 @@
     Sum.WronglyNotRun += Result.WronglyNotRun;
     Report.mix(Result.Hash);
   }
-  Report.atLeast("schedules", Schedules, 10'000 / Scale);
+  Report.atLeast("schedules", Schedules, static_cast<double>(10'000 / Scale));
   Report.atMost("ran_twice", Sum.RanTwice, 0);
   Report.atMost("wrongly_told_not_run", Sum.WronglyNotRun, 0);
   // The schedules must do something.
--- a/src/core/data/data_plane_settings.h
+++ b/src/core/data/data_plane_settings.h
@@ -32,7 +32,7 @@
   /// Budget of background record transfer in bytes a second.
   std::uint32_t TransferBytesPerSecond = 2000;
   /// Allowed excess over the weighted mean in target selection.
-  double LoadEpsilon = 0.01;
+  double LoadEpsilon = 0.005;
   /// Silence criterion: repeats of one segment or datagram, and the time they span.
   std::uint32_t SilenceRepeats = 4;
   duration SilenceSpan = std::chrono::seconds(5);
--- a/src/core/member/member_controller.h
+++ b/src/core/member/member_controller.h
@@ -9,6 +9,7 @@
 #include "core/member/member_suspicion.h"
 
 #include <optional>
+#include <set>
 #include <span>
 
 namespace briarpoint {
@@ -79,6 +80,10 @@
   /// False while a data centre in scope has members of which none is heard of.
   bool allReachable() const;
 
+  /// Data centres other than this one of which at least half of the members can't be reached,
+  /// whatever the scope.
+  std::set<std::string> unreachableDataCentres() const;
+
   /// Raised at each change of views() or allReachable().
   std::uint64_t generation() const { return Generation; }
 
--- a/src/core/member/member_controller_queries.cpp
+++ b/src/core/member/member_controller_queries.cpp
@@ -4,7 +4,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace briarpoint {
@@ -109,20 +109,24 @@
 }
 
 bool member_controller::allReachable() const {
-  if (Settings.Scope == ownership_scope::DataCentre)
-    return true;
-  std::set<std::string> Known;
-  std::set<std::string> Reached{Self.DataCentre};
+  return Settings.Scope == ownership_scope::DataCentre || unreachableDataCentres().empty();
+}
+
+std::set<std::string> member_controller::unreachableDataCentres() const {
+  // Nobody on this side may monitor some members of the other one, so those stay unsuspected for
+  // long. Half of a data centre's members are enough to take it for cut off.
+  std::map<std::string, int> Balance;
   for (const auto &[Id, Entry] : Entries) {
-    if (!Entry.Left)
-      Known.insert(Entry.Info.DataCentre);
-    if (!Entry.isDead() && !Entry.Suspected)
-      Reached.insert(Entry.Info.DataCentre);
+    if (Entry.Left || Entry.Info.DataCentre == Self.DataCentre)
+      continue;
+    const bool Lost = Entry.isDead() || Entry.Suspected;
+    Balance[Entry.Info.DataCentre] += Lost ? 1 : -1;
   }
-  for (const std::string &DataCentre : Known)
-    if (!Reached.contains(DataCentre))
-      return false;
-  return true;
+  std::set<std::string> Unreachable;
+  for (const auto &[DataCentre, LostMembers] : Balance)
+    if (LostMembers >= 0)
+      Unreachable.insert(DataCentre);
+  return Unreachable;
 }
 
 } // namespace briarpoint
--- a/src/core/target/target_controller.cpp
+++ b/src/core/target/target_controller.cpp
@@ -48,6 +48,27 @@
   Stale = true;
 }
 
+void target_controller::setUnreachable(std::set<std::string> DataCentres) {
+  if (Unreachable == DataCentres)
+    return;
+  Unreachable = std::move(DataCentres);
+  Stale = true;
+}
+
+bool target_controller::isRemote(const target_entry &Entry) const {
+  const auto InDataCentre = [&](const member_view &Member) {
+    return Member.DataCentre == Entry.Config.DataCentre;
+  };
+  const auto IsSelf = [&](const member_view &Member) { return Member.Id == Settings.Self; };
+  const auto Own = std::find_if(Members.begin(), Members.end(), IsSelf);
+  return Own != Members.end() && !InDataCentre(*Own) &&
+         std::any_of(Members.begin(), Members.end(), InDataCentre);
+}
+
+bool target_controller::isCutOff(const target_entry &Entry) const {
+  return Entry.Down && Unreachable.contains(Entry.Config.DataCentre);
+}
+
 void target_controller::assign(target_id Id, target_entry &Entry, instant Now) {
   Entry.Probers = assignProbers(Id, Members, Settings.ProbersPerTarget);
   const auto IsProber = [&](member_id Member) {
@@ -88,7 +109,10 @@
 }
 
 void target_controller::takeReport(target_entry &Entry, instant Now) {
-  std::optional<target_status> Report = Entry.Probe->takeReport(Settings, Now);
+  // One prober spreads the load; three copies of each report would take most of the control
+  // traffic.
+  const bool ReportsLoad = Entry.Probers.front() == Settings.Self;
+  std::optional<target_status> Report = Entry.Probe->takeReport(Settings, ReportsLoad, Now);
   if (!Report)
     return;
   Report->Reporter = Settings.Self;
--- a/src/core/target/target_controller.h
+++ b/src/core/target/target_controller.h
@@ -8,6 +8,7 @@
 #include "core/target/target_settings.h"
 #include "core/view/member_view.h"
 
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -35,6 +36,10 @@
   /// Assigns the probers anew.
   void applyMembers(const std::vector<member_view> &Members, instant Now);
 
+  /// Sets the data centres of which no balancer can be reached. A target there that doesn't answer
+  /// may serve its flows through its own side, so it gets no new flows but isn't declared dead.
+  void setUnreachable(std::set<std::string> DataCentres);
+
   std::vector<due_probe> takeDueProbes(instant Now);
   void handleProbe(const probe_result &Result, instant Now);
 
@@ -73,6 +78,10 @@
   void mergeLoad(target_entry &Entry, instant Now);
   static bool counts(const target_report &Report, instant Now);
   void rateService(const std::vector<target_id> &Targets, instant Now);
+  /// Whether it is in another data centre, which has balancers of its own.
+  bool isRemote(const target_entry &Entry) const;
+  /// Whether it doesn't answer and is on the other side of a partition.
+  bool isCutOff(const target_entry &Entry) const;
   void rate(target_entry &Entry, bool Ejected, instant Now);
   double ramp(const target_entry &Entry, instant Now) const;
   std::uint32_t copies(bool Important) const;
@@ -81,6 +90,7 @@
   random_source &Random;
   bool Configured = false;
   std::vector<member_view> Members;
+  std::set<std::string> Unreachable;
   std::unordered_map<target_id, target_entry> Targets;
   std::vector<std::vector<target_id>> Services;
   dissemination_queue<std::pair<target_id, member_id>> Updates;
--- a/src/core/target/target_controller_rating.cpp
+++ b/src/core/target/target_controller_rating.cpp
@@ -49,25 +49,25 @@
       Entry.DownVotes >= Needed || (Entry.DownVotes == 1 && Entry.Passive.isFailing());
   if (Entry.Down && !Down)
     Entry.RampFrom = Now;
+  if (Down && !Entry.Down)
+    Entry.DeadAt = isRemote(Entry) ? Now + Settings.RemoteDeadDelay : Now;
   Entry.Down = Down;
 }
 
 void target_controller::mergeLoad(target_entry &Entry, instant Now) {
-  double Use = 0;
-  double Connections = 0;
-  std::uint32_t Counted = 0;
-  for (const auto &[Reporter, Report] : Entry.Reports) {
-    if (!counts(Report, Now) || Report.Status.Health == target_health::Down)
+  // Only the first prober keeps its report of the load up to date; the next ones stand in for it
+  // until it has reported.
+  Entry.Load.Reported = false;
+  for (const member_id Prober : Entry.Probers) {
+    const auto Found = Entry.Reports.find(Prober);
+    if (Found == Entry.Reports.end() || !counts(Found->second, Now) ||
+        Found->second.Status.Health == target_health::Down)
       continue;
-    ++Counted;
-    Use += Report.Status.SlotUse / 255.0;
-    Connections += Report.Status.Connections;
-  }
-  Entry.Load.Reported = Counted > 0;
-  if (Counted == 0)
+    Entry.Load.Reported = true;
+    Entry.Load.SlotUse = Found->second.Status.SlotUse / 255.0;
+    Entry.Load.Connections = Found->second.Status.Connections;
     return;
-  Entry.Load.SlotUse = Use / Counted;
-  Entry.Load.Connections = Connections / Counted;
+  }
 }
 
 void target_controller::rateService(const std::vector<target_id> &Ids, instant Now) {
@@ -76,7 +76,7 @@
   std::size_t Participants = 0;
   for (const target_id Id : Ids) {
     target_entry &Entry = Targets.at(Id);
-    if (Entry.Draining || Entry.Config.Intent == target_intent::Leaving)
+    if (Entry.Draining || Entry.Config.Intent == target_intent::Leaving || isCutOff(Entry))
       continue;
     ++Participants;
     if (Entry.Down)
@@ -101,10 +101,10 @@
 void target_controller::rate(target_entry &Entry, bool Ejected, instant Now) {
   const bool Leaves = Entry.Draining || Entry.Config.Intent == target_intent::Leaving;
   target_rating Rating;
-  Rating.AcceptsNew = !Leaves && !Ejected;
+  Rating.AcceptsNew = !Leaves && !Ejected && !isCutOff(Entry);
   // A target that leaves doesn't count towards the ejection limit, so its death needs no place in
   // it.
-  Rating.Dead = Ejected || (Leaves && Entry.Down);
+  Rating.Dead = (Ejected || (Leaves && Entry.Down && !isCutOff(Entry))) && Now >= Entry.DeadAt;
   double Weight = ramp(Entry, Now) * Entry.Load.Weight;
   Weight *= 1.0 - (1.0 - ReducedShare) * Entry.Shedding;
   if (Entry.Passive.isPenalized(Now) || (Entry.Down && !Ejected))
--- a/src/core/target/target_entry.h
+++ b/src/core/target/target_entry.h
@@ -33,6 +33,8 @@
   target_config Config;
   service_id Service{};
   std::vector<member_id> Probers;
+  /// When a target that is down counts as dead.
+  instant DeadAt{};
   /// Set while this process is one of the probers.
   std::optional<target_probe> Probe;
   std::map<member_id, target_report> Reports;
--- a/src/core/target/target_probe.cpp
+++ b/src/core/target/target_probe.cpp
@@ -80,7 +80,7 @@
 }
 
 std::optional<target_status> target_probe::takeReport(const target_settings &Settings,
-                                                      instant Now) {
+                                                      bool ReportsLoad, instant Now) {
   if (!Known)
     return std::nullopt;
   target_status Status;
@@ -95,7 +95,7 @@
                                  Limit * SmallestUseStep) ||
                          differs(Connections, Reported->Connections, Limit * SignificantConnections,
                                  Limit * SmallestConnectionStep);
-    if (!Changed || Now < LoadReportAt)
+    if (!ReportsLoad || !Changed || Now < LoadReportAt)
       return std::nullopt;
   }
   Reported = Status;
--- a/src/core/target/target_probe.h
+++ b/src/core/target/target_probe.h
@@ -22,8 +22,9 @@
   void handle(const target_settings &Settings, const probe_result &Result, instant Now);
 
   /// Returns a report without sequence and reporter if something significant changed since the last
-  /// one.
-  std::optional<target_status> takeReport(const target_settings &Settings, instant Now);
+  /// one. Changes of load count only if \p ReportsLoad.
+  std::optional<target_status> takeReport(const target_settings &Settings, bool ReportsLoad,
+                                          instant Now);
 
 private:
   void updateHealth(const target_settings &Settings, const probe_result &Result);
--- a/src/core/target/target_settings.h
+++ b/src/core/target/target_settings.h
@@ -16,6 +16,9 @@
   std::uint32_t ProbeFailures = 3;
   /// Answers in a row after which a target counts as recovered.
   std::uint32_t ProbeSuccesses = 2;
+  /// How much later than a target of the own data centre one of another counts as dead. Probes
+  /// notice a partition before the membership does, and a target beyond it may be alive.
+  duration RemoteDeadDelay = std::chrono::seconds(5);
   duration SlowStart = std::chrono::seconds(30);
   double MaxEjected = 1.0 / 3.0;
   /// Time constant of the mean of slot use and connections that a prober reports. One sample of a
--- a/src/core/view/forwarding_view.cpp
+++ b/src/core/view/forwarding_view.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint32_t AmbiguousIndex = 0xFFFFFFFF;
+
 /// Returns the element that \p Index names for \p Key, or null.
 template <typename Map, typename Key, typename Element>
 const Element *lookUp(const Map &Index, const Key &Wanted, const std::vector<Element> &Elements) {
@@ -39,6 +41,10 @@
   for (std::uint32_t I = 0; I < Parts.Targets.size(); ++I) {
     TargetIndex.emplace(Parts.Targets[I].Id, I);
     TunnelIndex.emplace(Parts.Targets[I].Tunnel, I);
+    const auto [Known, IsNew] =
+        AddressIndex.try_emplace({Parts.Targets[I].Tunnel.Address, Parts.Targets[I].Service}, I);
+    if (!IsNew)
+      Known->second = AmbiguousIndex;
   }
   for (std::uint32_t I = 0; I < Parts.Members.size(); ++I) {
     MemberIndex.emplace(Parts.Members[I].Id, I);
@@ -67,6 +73,14 @@
   return lookUp(TunnelIndex, Tunnel, Parts.Targets);
 }
 
+const target_view *forwarding_view::findTargetByAddress(const ip_address &Address,
+                                                        service_id Service) const {
+  const auto Found = AddressIndex.find({Address, Service});
+  if (Found == AddressIndex.end() || Found->second == AmbiguousIndex)
+    return nullptr;
+  return &Parts.Targets[Found->second];
+}
+
 const member_view *forwarding_view::findMember(member_id Id) const {
   return lookUp(MemberIndex, Id, Parts.Members);
 }
--- a/src/core/view/forwarding_view.h
+++ b/src/core/view/forwarding_view.h
@@ -7,7 +7,9 @@
 #include "core/view/service_view.h"
 #include "core/view/target_view.h"
 
+#include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace briarpoint {
@@ -54,9 +56,12 @@
   /// Each returns null if there is none.
   const service_view *findService(service_id Id) const;
   const target_view *findTarget(target_id Id) const;
-  /// Finds a target by the outer source address of its answers. One host serves one service only
-  /// per tunnel endpoint.
+  /// Finds a target by its tunnel endpoint. One host serves one service only per tunnel endpoint.
   const target_view *findTargetByTunnel(const endpoint &Tunnel) const;
+  /// Finds the only target of \p Service at an address; null if there is none, or more than one. A
+  /// kernel's Geneve interface chooses the source port by the inner flow (RFC 8926, section 3.3),
+  /// so the port of a reply says nothing about its sender.
+  const target_view *findTargetByAddress(const ip_address &Address, service_id Service) const;
   const member_view *findMember(member_id Id) const;
   const member_view *findMemberByData(const endpoint &Data) const;
 
@@ -80,6 +85,8 @@
   std::unordered_map<service_id, std::uint32_t> ServiceIndex;
   std::unordered_map<target_id, std::uint32_t> TargetIndex;
   std::unordered_map<endpoint, std::uint32_t, endpoint_hash> TunnelIndex;
+  /// By address and service; AmbiguousIndex where two targets of a service share an address.
+  std::map<std::pair<ip_address, service_id>, std::uint32_t> AddressIndex;
   std::unordered_map<member_id, std::uint32_t> MemberIndex;
   std::unordered_map<endpoint, std::uint32_t, endpoint_hash> DataIndex;
 };
--- a/src/daemon/packet_task.cpp
+++ b/src/daemon/packet_task.cpp
@@ -110,12 +110,15 @@
     Plane.handleForward(Outer->Inner, Now);
     return;
   }
-  const target_view *const Target = View ? View->findTargetByTunnel(Source) : nullptr;
+  const target_view *Target = View ? View->findTargetByTunnel(Source) : nullptr;
+  if (Target == nullptr && isFabric(Source.Address)) {
+    Plane.handleForward(Outer->Inner, Now);
+    return;
+  }
+  if (Target == nullptr && View)
+    Target = View->findTargetByAddress(Source.Address, service_id{Outer->Vni});
   if (Target == nullptr) {
-    if (isFabric(Source.Address))
-      Plane.handleForward(Outer->Inner, Now);
-    else
-      ++Counters.UnknownSource;
+    ++Counters.UnknownSource;
   } else if (Outer->Vni != static_cast<std::uint32_t>(Target->Service)) {
     ++Counters.WrongVni;
   } else {
