--- /dev/null
+++ b/fuzz/settings_fuzz.cpp
@@ -0,0 +1,14 @@
+#include "base/findings_error.h"
+#include "config/settings.h"
+
+#include <cstdint>
+
+/// Parses the input as a daemon settings file. Malformed input is reported, never fatal.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data, std::size_t Size) {
+  using namespace briarpoint;
+  try {
+    parseSettings({reinterpret_cast<const char *>(Data), Size}, "input");
+  } catch (const findings_error &) { // The input is malformed.
+  }
+  return 0;
+}
