--- a/tests/config/examples_test.cpp
+++ b/tests/config/examples_test.cpp
@@ -44,7 +44,7 @@
     else
       ADD_FAILURE() << "the name doesn't tell what the example contains";
   }
-  EXPECT_EQ(Files, 8);
+  EXPECT_EQ(Files, 9);
 }
 
 TEST(examples, PatchesApplyToTheConfigurationOfTheirOperator) {
