--- a/src/daemon/change_logger.h
+++ b/src/daemon/change_logger.h
@@ -3,7 +3,7 @@
 
 #include "config/configuration.h"
 #include "core/view/forwarding_view.h"
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 
 namespace briarpoint {
 
--- a/src/daemon/configuration_exchange.h
+++ b/src/daemon/configuration_exchange.h
@@ -3,7 +3,7 @@
 
 #include "config/configuration.h"
 #include "daemon/control_counters.h"
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "peer/http_signature.h"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,14 +5,12 @@
 #include "config/config_text.h"
 #include "daemon/control_task.h"
 #include "daemon/packet_task.h"
+#include "io/read_file.h"
 #include "platform/http_object_store.h"
 #include "platform/memory_object_store.h"
 
 #include <csignal>
-#include <fstream>
 #include <random>
-#include <sstream>
-#include <stdexcept>
 #include <thread>
 
 namespace briarpoint {
@@ -22,14 +20,6 @@
 /// How often the store in memory answers its calls.
 constexpr duration MemoryStoreInterval = std::chrono::milliseconds(20);
 
-std::string readFile(const std::string &File) {
-  std::ifstream Stream(File, std::ios::binary);
-  std::ostringstream Text;
-  if (!Stream || !(Text << Stream.rdbuf()))
-    throw std::runtime_error("can't read " + File);
-  return Text.str();
-}
-
 /// Incarnations and message sequences of one name must rise, also over restarts.
 std::uint64_t newIncarnation() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,7 +2,7 @@
 #define BRIARPOINT_DAEMON_DAEMON_H
 
 #include "config/settings.h"
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 
 #include <string>
 
--- a/src/daemon/peer_socket.h
+++ b/src/daemon/peer_socket.h
@@ -3,7 +3,7 @@
 
 #include "core/control/peer_message.h"
 #include "daemon/control_counters.h"
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 #include "io/file_descriptor.h"
 #include "io/receive_batch.h"
 #include "peer/authenticator_settings.h"
--- a/src/daemon/target_prober.h
+++ b/src/daemon/target_prober.h
@@ -3,7 +3,7 @@
 
 #include "core/target/probe_result.h"
 #include "daemon/control_counters.h"
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 #include "io/http_client.h"
 
 #include <unordered_set>
--- /dev/null
+++ b/src/forward/flow_tracker.cpp
@@ -0,0 +1,76 @@
+#include "forward/flow_tracker.h"
+
+namespace briarpoint {
+
+tracked_flow *flow_tracker::find(const flow_address &Flow) {
+  const auto Found = Flows.find(Flow);
+  return Found == Flows.end() ? nullptr : &Found->second;
+}
+
+tracked_flow *flow_tracker::add(const caller_packet &Packet, target *Target, instant Now) {
+  if (Flows.size() >= MaxFlows)
+    return nullptr;
+  tracked_flow &Flow = Flows[Packet.Flow];
+  Flow.Opening = Packet.Opens;
+  Flow.Waiting = Packet.Opens || Packet.DataSize > 0;
+  Flow.Sequence = Packet.Sequence;
+  Flow.Acknowledged = Packet.Opens ? 0 : Packet.Acknowledged;
+  Flow.SentAt = Now;
+  Flow.LastPacketAt = Now;
+  move(Flow, Target);
+  return &Flow;
+}
+
+void flow_tracker::observe(tracked_flow &Flow, const caller_packet &Packet, instant Now) {
+  Flow.LastPacketAt = Now;
+  const bool Repeat = Packet.Opens ? Flow.Opening && Packet.Sequence == Flow.Sequence
+                                   : Flow.Waiting && !Flow.Opening && Packet.DataSize > 0 &&
+                                         Packet.Sequence == Flow.Sequence &&
+                                         Packet.Acknowledged == Flow.Acknowledged;
+  if (Repeat) {
+    ++Flow.Repeats;
+    if (Flow.Target != nullptr)
+      Flow.HealthEpoch = Flow.Target->Health.repeated(Flow.HealthEpoch, Now);
+    return;
+  }
+  // The end of the handshake, or an acknowledgement that advanced: the caller heard from the
+  // target.
+  if (!Packet.Opens && (Flow.Opening || Packet.Acknowledged != Flow.Acknowledged)) {
+    if (Flow.Target != nullptr)
+      Flow.Target->Health.answered();
+    Flow.Opening = false;
+    Flow.Waiting = false;
+  }
+  Flow.Repeats = 0;
+  Flow.Acknowledged = Packet.Opens ? 0 : Packet.Acknowledged;
+  if (Packet.Opens || Packet.DataSize > 0) {
+    Flow.Opening = Packet.Opens;
+    Flow.Waiting = true;
+    Flow.Sequence = Packet.Sequence;
+    Flow.SentAt = Now;
+  }
+}
+
+void flow_tracker::move(tracked_flow &Flow, target *Target) {
+  if (Flow.Target != nullptr)
+    --Flow.Target->OpenFlows;
+  Flow.Target = Target;
+  if (Target != nullptr)
+    ++Target->OpenFlows;
+}
+
+void flow_tracker::erase(const flow_address &Flow) {
+  const auto Found = Flows.find(Flow);
+  if (Found == Flows.end())
+    return;
+  move(Found->second, nullptr);
+  Flows.erase(Found);
+}
+
+void flow_tracker::expire(instant Before) {
+  eraseIf([Before](const flow_address &, const tracked_flow &Flow) {
+    return Flow.LastPacketAt < Before;
+  });
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forward/packet_forwarder.cpp
@@ -0,0 +1,113 @@
+#include "forward/packet_forwarder.h"
+
+namespace briarpoint {
+
+packet_forwarder::packet_forwarder(const packet_forwarder_settings &Settings, route_table &Routes,
+                                   target_registry &Targets, random_source &Random)
+    : Settings(Settings), Routes(Routes), Targets(Targets), Chooser(Random),
+      Flows(Settings.MaxFlows) {}
+
+forward_decision packet_forwarder::decide(const caller_packet &Packet, instant Now) {
+  if (!ready())
+    return {forward_action::Drop, forward_reason::NotReady};
+  const active_route *Route = Routes.find(Packet.Flow.Service);
+  if (Route == nullptr) {
+    Flows.erase(Packet.Flow);
+    // An end of a flow needs no answer.
+    return {Packet.Ends ? forward_action::Drop : forward_action::Reset, forward_reason::NoRoute};
+  }
+  return Packet.Opens ? open(Packet, *Route, Now) : proceed(Packet, *Route, Now);
+}
+
+target *packet_forwarder::place(const caller_packet &Packet, const active_route &Route,
+                                const target *Except, instant Now) {
+  // All balancers choose the same service for a flow, whichever of them a repeat reaches.
+  const std::string *Service =
+      Route.chooseService(mixHash(flow_address_hash()(Packet.Flow), Packet.Sequence));
+  return Service == nullptr ? nullptr : Chooser.choose(Targets.ofService(*Service), Except, Now);
+}
+
+forward_decision packet_forwarder::open(const caller_packet &Packet, const active_route &Route,
+                                        instant Now) {
+  tracked_flow *Flow = Flows.find(Packet.Flow);
+  const bool Repeat = Flow != nullptr && Flow->Opening && Flow->Sequence == Packet.Sequence;
+  if (!Repeat) {
+    target *Chosen = place(Packet, Route, nullptr, Now);
+    if (Chosen == nullptr)
+      return {forward_action::Reset, forward_reason::NoTarget};
+    Flows.erase(Packet.Flow);
+    Flows.add(Packet, Chosen, Now);
+    return {forward_action::Forward, forward_reason::Placed, Chosen};
+  }
+
+  // Two targets that both answer would confuse the caller about the token, so a repeat goes to the
+  // same target unless that one is thought dead.
+  if (Now - Flow->SentAt >= Settings.RepeatTime)
+    Flows.observe(*Flow, Packet, Now);
+  target *Current = Flow->Target;
+  if (!Current->Health.suspected(Now) && Current->accepts(Now))
+    return {forward_action::Forward, forward_reason::PlacedAgain, Current, Flow->Repeats};
+  target *Other = place(Packet, Route, Current, Now);
+  if (Other == nullptr)
+    return {forward_action::Reset, forward_reason::NoTarget};
+  flow_tracker::move(*Flow, Other);
+  return {forward_action::Forward, forward_reason::PlacedAgain, Other, Flow->Repeats};
+}
+
+forward_decision packet_forwarder::proceed(const caller_packet &Packet, const active_route &Route,
+                                           instant Now) {
+  if (Packet.Token == NoToken)
+    return {forward_action::Drop, forward_reason::Meaningless};
+  target *Found = Targets.locate(Packet.Token);
+  if (Found == nullptr)
+    return unknownToken(Packet, Now);
+  if (!Route.FlowServices.contains(Found->Registration.Service))
+    return {Packet.Ends ? forward_action::Drop : forward_action::Reset,
+            forward_reason::OtherService, Found};
+
+  // The token counts, not what this balancer remembers: a repeat may have been placed elsewhere.
+  tracked_flow *Flow = Flows.find(Packet.Flow);
+  if (Flow != nullptr && Flow->Target != Found)
+    flow_tracker::move(*Flow, Found);
+  if (Flow != nullptr)
+    Flows.observe(*Flow, Packet, Now);
+  else if (Packet.DataSize > 0 && !Packet.Ends)
+    Flow = Flows.add(Packet, Found, Now);
+
+  const std::uint32_t Repeats = Flow == nullptr ? 0 : Flow->Repeats;
+  if (Found->gone(Now) || (Repeats > 0 && Found->Health.dead(Now))) {
+    const forward_reason Reason =
+        Found->gone(Now) ? forward_reason::TargetGone : forward_reason::TargetSilent;
+    Flows.erase(Packet.Flow);
+    return {Packet.Ends ? forward_action::Drop : forward_action::Reset, Reason, Found, Repeats};
+  }
+  if (Packet.Ends)
+    Flows.erase(Packet.Flow);
+  return {forward_action::Forward, forward_reason::Open, Found, Repeats};
+}
+
+forward_decision packet_forwarder::unknownToken(const caller_packet &Packet, instant Now) {
+  tracked_flow *Flow = Flows.find(Packet.Flow);
+  if (Flow == nullptr)
+    Flow = Packet.Ends ? nullptr : Flows.add(Packet, nullptr, Now);
+  else if (Flow->Target != nullptr)
+    flow_tracker::move(*Flow, nullptr);
+  if (Flow == nullptr || Now - Flow->SentAt < Settings.UnknownTokenTime)
+    return {forward_action::Drop, forward_reason::UnknownToken};
+  Flows.erase(Packet.Flow);
+  return {forward_action::Reset, forward_reason::UnknownToken};
+}
+
+void packet_forwarder::sweep(instant Now, const reset_function &Reset) {
+  Flows.eraseIf([&](const flow_address &Address, const tracked_flow &Flow) {
+    if (Flow.LastPacketAt + Routes.idleTime() < Now)
+      return true;
+    if (Flow.Target == nullptr || !Flow.Target->gone(Now))
+      return false;
+    Reset(Address, Flow);
+    return true;
+  });
+  Targets.expire(Now);
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forward/packet_forwarder.h
@@ -0,0 +1,64 @@
+#ifndef BRIARPOINT_FORWARD_PACKET_FORWARDER_H
+#define BRIARPOINT_FORWARD_PACKET_FORWARDER_H
+
+#include "forward/caller_packet.h"
+#include "forward/flow_tracker.h"
+#include "forward/forward_decision.h"
+#include "forward/route_table.h"
+#include "forward/target_chooser.h"
+#include "forward/target_registry.h"
+
+#include <functional>
+
+namespace briarpoint {
+
+/// Settings of packet_forwarder.
+struct packet_forwarder_settings {
+  /// Flows that are followed at most; a tracked flow takes about 120 bytes.
+  std::size_t MaxFlows = 20'000;
+  /// A repeat that comes sooner than this after the packet it repeats waited in this balancer's own
+  /// queue, and says nothing about the target. Callers repeat after 200 ms.
+  duration RepeatTime = std::chrono::milliseconds(120);
+  /// Time for which packets with an unknown token are dropped before the flow is reset. The target
+  /// may have registered a moment ago; the caller repeats its packet meanwhile.
+  duration UnknownTokenTime = std::chrono::milliseconds(1500);
+};
+
+/// Decides about each packet of a caller: which target takes it, or what the caller is told.
+class packet_forwarder {
+public:
+  /// All must outlive the object.
+  packet_forwarder(const packet_forwarder_settings &Settings, route_table &Routes,
+                   target_registry &Targets, random_source &Random);
+
+  forward_decision decide(const caller_packet &Packet, instant Now);
+
+  /// Resets flows whose target is gone, so that their callers don't wait for it, and forgets idle
+  /// flows. \p Reset is called with each flow to reset and what is known of it.
+  using reset_function = std::function<void(const flow_address &, const tracked_flow &)>;
+  void sweep(instant Now, const reset_function &Reset);
+
+  /// There is a configuration, and a complete list of targets was read.
+  bool ready() const { return Routes.version() != 0 && TargetsKnown; }
+  void setTargetsKnown() { TargetsKnown = true; }
+
+  std::size_t trackedFlows() const { return Flows.size(); }
+
+private:
+  forward_decision open(const caller_packet &Packet, const active_route &Route, instant Now);
+  forward_decision proceed(const caller_packet &Packet, const active_route &Route, instant Now);
+  forward_decision unknownToken(const caller_packet &Packet, instant Now);
+  target *place(const caller_packet &Packet, const active_route &Route, const target *Except,
+                instant Now);
+
+  packet_forwarder_settings Settings;
+  route_table &Routes;
+  target_registry &Targets;
+  target_chooser Chooser;
+  flow_tracker Flows;
+  bool TargetsKnown = false;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARD_PACKET_FORWARDER_H
--- /dev/null
+++ b/src/forward/route_table.cpp
@@ -0,0 +1,42 @@
+#include "forward/route_table.h"
+
+#include "base/random_source.h"
+
+namespace briarpoint {
+
+const std::string *active_route::chooseService(std::uint64_t Hash) const {
+  auto Point = static_cast<std::uint64_t>((static_cast<uint128>(Hash) * TotalWeight) >> 64U);
+  for (const route_service &Entry : Route.Services) {
+    if (Point < Entry.Weight)
+      return &Entry.Service;
+    Point -= Entry.Weight;
+  }
+  return nullptr;
+}
+
+bool route_table::apply(const routing_configuration &Configuration) {
+  if (Configuration.Version <= Version)
+    return false;
+  std::map<ipv4_endpoint, active_route> Next;
+  for (const route &Route : Configuration.Routes) {
+    active_route &Active = Next[Route.Address];
+    Active.Route = Route;
+    if (const auto Earlier = Routes.find(Route.Address); Earlier != Routes.end())
+      Active.FlowServices = std::move(Earlier->second.FlowServices);
+    for (const route_service &Entry : Route.Services) {
+      Active.TotalWeight += Entry.Weight;
+      Active.FlowServices.insert(Entry.Service);
+    }
+  }
+  Routes = std::move(Next);
+  Version = Configuration.Version;
+  IdleTime = Configuration.IdleTime;
+  return true;
+}
+
+const active_route *route_table::find(const ipv4_endpoint &Address) const {
+  const auto Found = Routes.find(Address);
+  return Found == Routes.end() ? nullptr : &Found->second;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forward/route_table.h
@@ -0,0 +1,48 @@
+#ifndef BRIARPOINT_FORWARD_ROUTE_TABLE_H
+#define BRIARPOINT_FORWARD_ROUTE_TABLE_H
+
+#include "forward/routing_configuration.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace briarpoint {
+
+/// A route in force.
+struct active_route {
+  route Route;
+  std::uint64_t TotalWeight = 0;
+  /// Services that this or an earlier version of the route named. A new version leaves open flows
+  /// where they are.
+  std::set<std::string, std::less<>> FlowServices;
+
+  /// Returns the service for a new flow; \p Hash is uniformly distributed. Nothing if all weights
+  /// are 0.
+  const std::string *chooseService(std::uint64_t Hash) const;
+};
+
+/// The routes of the configuration in force. The version in force never decreases.
+class route_table {
+public:
+  /// Returns false, and changes nothing, if the version isn't above the one in force.
+  bool apply(const routing_configuration &Configuration);
+
+  /// Version in force; 0 before the first one.
+  std::uint64_t version() const { return Version; }
+  duration idleTime() const { return IdleTime; }
+
+  /// Returns the route of a service address, or nothing.
+  const active_route *find(const ipv4_endpoint &Address) const;
+
+  std::size_t size() const { return Routes.size(); }
+
+private:
+  std::uint64_t Version = 0;
+  duration IdleTime = routing_configuration().IdleTime;
+  std::map<ipv4_endpoint, active_route> Routes;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARD_ROUTE_TABLE_H
--- /dev/null
+++ b/src/forward/target_registry.cpp
@@ -0,0 +1,94 @@
+#include "forward/target_registry.h"
+
+#include <set>
+
+namespace briarpoint {
+
+void target_registry::put(const target_registration &Registration, instant Now) {
+  std::unique_ptr<target> &Entry = Targets[Registration.Name];
+  const bool Known = Entry != nullptr;
+  if (Known && Registration.Revision < Entry->Registration.Revision)
+    return;
+  if (!Known)
+    Entry = std::make_unique<target>();
+  const bool Restarted = Known && Entry->Registration.StartedMs != Registration.StartedMs;
+  const bool Moved = !Known || Entry->Registration.Service != Registration.Service ||
+                     Entry->Registration.Created != Registration.Created;
+  Entry->Registration = Registration;
+  Entry->Token = makeFlowToken(Registration.Number);
+  Entry->Local = Registration.DataCentre == Settings.DataCentre;
+  Entry->RemovedAt = Never;
+  Entry->GoneAt = Never;
+  Entry->WarmAt = Now + std::chrono::milliseconds(Registration.WarmUpMs);
+  // What callers said about the earlier process says nothing about the new one.
+  if (Restarted)
+    Entry->Health = target_health();
+  if (Moved)
+    index();
+}
+
+void target_registry::remove(const std::string &Name, std::uint64_t Revision, instant Now) {
+  target *Entry = find(Name);
+  if (Entry == nullptr || Entry->removed() || Revision < Entry->Registration.Revision)
+    return;
+  Entry->RemovedAt = Now;
+  // A target that announced its end and is removed has ended. Any other one may have lapsed.
+  Entry->GoneAt = Entry->Registration.Draining ? Now : Now + Settings.LapseTime;
+}
+
+void target_registry::replaceAll(std::span<const target_registration> Registrations,
+                                 std::uint64_t Revision, instant Now) {
+  std::set<std::string_view> Listed;
+  for (const target_registration &Registration : Registrations) {
+    put(Registration, Now);
+    Listed.insert(Registration.Name);
+  }
+  for (const auto &[Name, Entry] : Targets) {
+    if (Listed.contains(Name) || Entry->removed() || Revision < Entry->Registration.Revision)
+      continue;
+    Entry->RemovedAt = Now;
+    Entry->GoneAt = Now + Settings.LapseTime;
+  }
+}
+
+void target_registry::expire(instant Now) {
+  const std::size_t Erased = std::erase_if(Targets, [&](const auto &Entry) {
+    return Entry.second->removed() && Entry.second->OpenFlows == 0 &&
+           Now - Entry.second->RemovedAt >= Settings.FlowLifetime;
+  });
+  if (Erased > 0)
+    index();
+}
+
+target *target_registry::locate(flow_token Token) {
+  const auto Found = Tokens.find(static_cast<std::uint32_t>(Token));
+  return Found == Tokens.end() ? nullptr : Found->second;
+}
+
+target *target_registry::find(const std::string &Name) {
+  const auto Found = Targets.find(Name);
+  return Found == Targets.end() ? nullptr : Found->second.get();
+}
+
+std::span<target *const> target_registry::ofService(const std::string &Service) const {
+  const auto Found = Services.find(Service);
+  return Found == Services.end() ? std::span<target *const>() : Found->second;
+}
+
+void target_registry::index() {
+  Services.clear();
+  Tokens.clear();
+  for (const auto &[Name, Entry] : Targets) {
+    Services[Entry->Registration.Service].push_back(Entry.get());
+    target *&Owner = Tokens[static_cast<std::uint32_t>(Entry->Token)];
+    Entry->OwnsToken =
+        Owner == nullptr || Entry->Registration.Created < Owner->Registration.Created;
+    if (!Entry->OwnsToken)
+      continue;
+    if (Owner != nullptr)
+      Owner->OwnsToken = false;
+    Owner = Entry.get();
+  }
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/forwarder.cpp
@@ -0,0 +1,202 @@
+#include "forwarder/forwarder.h"
+
+#include "base/findings_error.h"
+#include "base/seeded_random.h"
+#include "forwarder/forwarder_status.h"
+#include "forwarder/loop_scheduler.h"
+#include "forwarder/packet_socket.h"
+#include "forwarder/registration_feed.h"
+#include "forwarder/route_feed.h"
+#include "io/http_server.h"
+
+#include <csignal>
+#include <random>
+
+namespace briarpoint {
+
+namespace {
+
+/// How often flows of targets that are gone are looked for.
+constexpr duration SweepInterval = std::chrono::milliseconds(250);
+/// Routers ask for readiness every 500 ms and stop sending after two refusals. A balancer that has
+/// received nothing for this long is no longer used.
+constexpr duration QuietTime = std::chrono::milliseconds(1200);
+/// Part of the shutdown time that is kept for the end of the process itself.
+constexpr duration ShutdownReserve = std::chrono::milliseconds(500);
+
+std::uint64_t randomSeed() {
+  std::random_device Device;
+  return static_cast<std::uint64_t>(Device()) << 32U | Device();
+}
+
+target_registry_settings registrySettings(const forwarder_settings &Settings) {
+  target_registry_settings Result;
+  Result.DataCentre = Settings.DataCentre;
+  Result.FlowLifetime = Settings.FlowLifetime;
+  return Result;
+}
+
+packet_forwarder_settings packetSettings(const forwarder_settings &Settings) {
+  packet_forwarder_settings Result;
+  Result.MaxFlows = Settings.MaxFlows;
+  return Result;
+}
+
+http_response textResponse(int Status, std::string Body) {
+  return {Status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(Body)};
+}
+
+} // namespace
+
+/// Everything that run() uses, in the order of construction.
+struct forwarder::parts {
+  forwarder_settings Settings;
+  event_loop &Loop;
+  const forwarder_platform &Platform;
+  event_log &Log;
+  time_source &Clock;
+  const std::uint64_t &LinesNotWritten;
+
+  seeded_random Random;
+  forwarder_counters Counters;
+  route_table Routes;
+  target_registry Targets;
+  packet_forwarder Packets;
+  forwarder_log DecisionLog;
+  packet_socket Socket;
+  registration_feed Registrations;
+  route_feed Configuration;
+  loop_scheduler RegistrationScheduler;
+  loop_scheduler ConfigurationScheduler;
+  object_watcher RegistrationWatcher;
+  object_watcher ConfigurationWatcher;
+  http_server ReadinessServer;
+  http_server OperatorServer;
+  bool WasReady = false;
+  /// Never until the graceful stop begins.
+  instant StopBegan = Never;
+
+  parts(const forwarder_settings &AllSettings, event_loop &Loop, const forwarder_platform &Platform,
+        event_log &Log, time_source &Clock, const std::uint64_t &LinesNotWritten)
+      : Settings(AllSettings), Loop(Loop), Platform(Platform), Log(Log), Clock(Clock),
+        LinesNotWritten(LinesNotWritten), Random(randomSeed()),
+        Targets(registrySettings(AllSettings)),
+        Packets(packetSettings(AllSettings), Routes, Targets, Random), DecisionLog(Log, Routes),
+        Socket(AllSettings.Packets, Platform.Packets, Packets, Clock, DecisionLog, Counters),
+        Registrations(Platform.Objects, Targets, Packets, Clock, Log, Counters),
+        Configuration(Platform.Objects, Routes, Log, Counters), RegistrationScheduler(Loop, Clock),
+        ConfigurationScheduler(Loop, Clock),
+        RegistrationWatcher(Platform.Objects.registrationKind(), {}, Platform.RegistrationApi,
+                            Registrations, RegistrationScheduler, Random),
+        ConfigurationWatcher(Platform.Objects.configurationKind(), {}, Platform.ConfigurationApi,
+                             Configuration, ConfigurationScheduler, Random),
+        ReadinessServer(Loop, AllSettings.Readiness, {},
+                        [this](const incoming_request &Request, const http_responder &Respond) {
+                          Respond(answerReadiness(Request));
+                        }),
+        OperatorServer(Loop, AllSettings.Operator, {},
+                       [this](const incoming_request &Request, const http_responder &Respond) {
+                         Respond(answerOperator(Request));
+                       }) {}
+
+  bool stopping() const { return StopBegan != Never; }
+  forwarder_status status() const;
+  http_response answerReadiness(const incoming_request &Request) const;
+  http_response answerOperator(const incoming_request &Request) const;
+  void stop();
+  void sweep();
+  void reload(const reload_function &Read);
+};
+
+forwarder_status forwarder::parts::status() const {
+  return {Settings,
+          Counters,
+          Routes,
+          Targets,
+          RegistrationWatcher,
+          ConfigurationWatcher,
+          Packets.trackedFlows(),
+          Packets.ready() && !stopping(),
+          Log.suppressed(),
+          LinesNotWritten,
+          Clock.now()};
+}
+
+http_response forwarder::parts::answerReadiness(const incoming_request &Request) const {
+  if (Request.Path != Platform.ReadinessPath)
+    return textResponse(404, "");
+  return textResponse(Packets.ready() && !stopping() ? 200 : 503, "");
+}
+
+http_response forwarder::parts::answerOperator(const incoming_request &Request) const {
+  if (Request.Path == "/metrics")
+    return textResponse(200, metricsText(status()));
+  if (Request.Path == "/state")
+    return {200, {{"Content-Type", "application/json"}}, stateText(status())};
+  return textResponse(404, "");
+}
+
+void forwarder::parts::stop() {
+  if (stopping())
+    return;
+  StopBegan = Clock.now();
+  Log.write(log_event::StopBegan, {{"flows", std::to_string(Packets.trackedFlows())}});
+}
+
+void forwarder::parts::sweep() {
+  Socket.sweep();
+  if (Packets.ready() && !std::exchange(WasReady, true))
+    Log.write(log_event::ForwarderReady, {{"version", std::to_string(Routes.version())},
+                                          {"targets", std::to_string(Targets.size())}});
+  if (!stopping())
+    return;
+  // Routers go on sending until they have noticed that the balancer isn't ready.
+  const instant Now = Clock.now();
+  const instant LastUse = std::max(StopBegan, Socket.lastPacket());
+  if (Now >= LastUse + QuietTime || Now >= StopBegan + Settings.ShutdownTime - ShutdownReserve)
+    Loop.stop();
+}
+
+void forwarder::parts::reload(const reload_function &Read) {
+  try {
+    const forwarder_settings New = Read();
+    if (New == Settings)
+      return;
+    Log.setLevel(New.LogLevel);
+    Settings.LogLevel = New.LogLevel;
+    Settings.ShutdownTime = New.ShutdownTime;
+    Log.write(log_event::SettingsReloaded);
+    // What needs a restart keeps its old value.
+    if (New != Settings)
+      Log.write(log_event::RestartNeeded, {{"finding", "addresses, names and sizes"}});
+  } catch (const std::exception &Error) {
+    Log.write(log_event::SettingsRejected, {{"finding", Error.what()}});
+  }
+}
+
+forwarder::forwarder(const forwarder_settings &Settings, event_loop &Loop,
+                     const forwarder_platform &Platform, event_log &Log, time_source &Clock,
+                     const std::uint64_t &LinesNotWritten)
+    : Parts(std::make_unique<parts>(Settings, Loop, Platform, Log, Clock, LinesNotWritten)) {}
+
+forwarder::~forwarder() = default;
+
+void forwarder::run(const reload_function &Reload) {
+  parts &All = *Parts;
+  All.Log.write(log_event::ProcessStarted, {{"name", All.Settings.Name},
+                                            {"data_centre", All.Settings.DataCentre},
+                                            {"packets", toString(All.Settings.Packets)},
+                                            {"store", toString(All.Settings.Store)}});
+  for (const int Signal : {SIGTERM, SIGINT})
+    All.Loop.onSignal(Signal, [&All] { All.stop(); });
+  All.Loop.onSignal(SIGHUP, [&All, &Reload] { All.reload(Reload); });
+  All.Loop.onReadable(All.Socket.descriptor(), [&All] { All.Socket.receive(); });
+  All.Loop.onInterval(SweepInterval, [&All] { All.sweep(); });
+  All.ConfigurationWatcher.start();
+  All.RegistrationWatcher.start();
+  All.Loop.run();
+  All.Log.write(log_event::ProcessEnded, {{"received", std::to_string(All.Counters.Received)},
+                                          {"sent", std::to_string(All.Counters.Sent)}});
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/forwarder.h
@@ -0,0 +1,54 @@
+#ifndef BRIARPOINT_FORWARDER_FORWARDER_H
+#define BRIARPOINT_FORWARDER_FORWARDER_H
+
+#include "forward/object_format.h"
+#include "forward/packet_format.h"
+#include "forwarder/forwarder_settings.h"
+#include "io/event_loop.h"
+#include "io/time_source.h"
+#include "log/event_log.h"
+#include "store/object_api.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace briarpoint {
+
+/// What a platform provides to a forwarder.
+struct forwarder_platform {
+  const packet_format &Packets;
+  const object_format &Objects;
+  /// One connection to the store for each kind that is watched.
+  object_api &RegistrationApi;
+  object_api &ConfigurationApi;
+  /// Path that the routers ask for readiness.
+  std::string ReadinessPath;
+};
+
+/// The daemon that forwards callers' packets by flow tokens: one loop, no state that must last.
+class forwarder {
+public:
+  /// Everything that is referred to must outlive the object. \p LinesNotWritten counts log lines
+  /// that were dropped.
+  forwarder(const forwarder_settings &Settings, event_loop &Loop,
+            const forwarder_platform &Platform, event_log &Log, time_source &Clock,
+            const std::uint64_t &LinesNotWritten);
+  ~forwarder();
+  forwarder(const forwarder &) = delete;
+  forwarder &operator=(const forwarder &) = delete;
+
+  /// Called at SIGHUP and when the settings file has changed.
+  using reload_function = std::function<forwarder_settings()>;
+
+  /// Serves until the graceful stop after SIGTERM is complete. \p Reload reads the settings again.
+  void run(const reload_function &Reload);
+
+private:
+  struct parts;
+  std::unique_ptr<parts> Parts;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_FORWARDER_H
--- /dev/null
+++ b/src/forwarder/forwarder_counters.h
@@ -0,0 +1,26 @@
+#ifndef BRIARPOINT_FORWARDER_FORWARDER_COUNTERS_H
+#define BRIARPOINT_FORWARDER_FORWARDER_COUNTERS_H
+
+#include "forward/forward_decision.h"
+
+#include <array>
+#include <cstdint>
+
+namespace briarpoint {
+
+/// Packets since the start.
+struct forwarder_counters {
+  std::uint64_t Received = 0;
+  std::uint64_t Sent = 0;
+  std::uint64_t Malformed = 0;
+  /// By forward_action and forward_reason.
+  std::array<std::array<std::uint64_t, ForwardReasonCount>, 3> Decisions{};
+  std::uint64_t RefusedRegistrations = 0;
+  std::uint64_t RefusedConfigurations = 0;
+  /// Log lines that the reader of the standard output didn't take in time.
+  std::uint64_t LinesNotWritten = 0;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_FORWARDER_COUNTERS_H
--- /dev/null
+++ b/src/forwarder/forwarder_log.cpp
@@ -0,0 +1,57 @@
+#include "forwarder/forwarder_log.h"
+
+#include "forward/target.h"
+
+namespace briarpoint {
+
+namespace {
+
+log_event eventOf(const forward_decision &Decision) {
+  if (Decision.Action == forward_action::Reset)
+    return log_event::FlowReset;
+  if (Decision.Action == forward_action::Drop)
+    return log_event::PacketDropped;
+  switch (Decision.Reason) {
+  case forward_reason::Placed:
+    return log_event::FlowPlaced;
+  case forward_reason::PlacedAgain:
+    return log_event::FlowPlacedAgain;
+  default:
+    return log_event::PacketRepeated;
+  }
+}
+
+std::string describe(const target &Target, instant Now) {
+  if (Target.gone(Now))
+    return "gone";
+  if (Target.removed())
+    return "lapsed";
+  if (Target.Registration.Draining)
+    return "draining";
+  return Target.Health.suspected(Now) ? "suspected" : "ready";
+}
+
+} // namespace
+
+void forwarder_log::decision(const caller_packet &Packet, const forward_decision &Decision,
+                             std::string_view RequestId, instant Now) {
+  const target *Target = Decision.Target;
+  Log.write(
+      eventOf(Decision),
+      {{"caller", toString(Packet.Flow.Caller)},
+       {"service", toString(Packet.Flow.Service)},
+       {"reason", std::string(toString(Decision.Reason))},
+       {"request", std::string(RequestId)},
+       {"target", Target == nullptr ? "" : Target->Registration.Name},
+       {"target_state", Target == nullptr ? "" : describe(*Target, Now)},
+       {"target_revision", Target == nullptr ? "" : std::to_string(Target->Registration.Revision)},
+       {"target_flows", Target == nullptr ? "" : std::to_string(Target->OpenFlows)},
+       {"repeats", std::to_string(Decision.Repeats)},
+       {"version", std::to_string(Routes.version())}});
+}
+
+void forwarder_log::malformed(std::size_t Size) {
+  Log.write(log_event::PacketMalformed, {{"size", std::to_string(Size)}});
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/forwarder_settings.cpp
@@ -0,0 +1,50 @@
+#include "forwarder/forwarder_settings.h"
+
+#include "config/field_reader.h"
+#include "config/toml_reader.h"
+
+namespace briarpoint {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t MaxFlowsLimit = 10'000'000;
+
+void readListen(const document_value &Value, const std::string &Path, finding_collector &Findings,
+                forwarder_settings &Out) {
+  field_reader Reader(Value, Path, Findings);
+  Reader.required("packets", Out.Packets);
+  Reader.required("readiness", Out.Readiness);
+  Reader.required("operator", Out.Operator);
+  if (Out.Packets.Address.IsV6)
+    Reader.report("packets", "must be an IPv4 address");
+  if (Out.Operator.Port != 0 && Out.Operator == Out.Readiness)
+    Reader.report("operator", "must differ from listen.readiness");
+}
+
+} // namespace
+
+forwarder_settings parseForwarderSettings(std::string_view Text, const std::string &Source) {
+  finding_collector Findings(Source);
+  const document_value Document = readToml(Text, Source);
+  forwarder_settings Result;
+  field_reader Root(Document, "", Findings);
+  Root.required("name", name_text{Result.Name});
+  Root.required("data_centre", name_text{Result.DataCentre});
+  Root.required("store", Result.Store);
+  Root.optional("log_level", Result.LogLevel);
+  Root.optional("shutdown_time",
+                bounded<duration>{Result.ShutdownTime, milliseconds(100), hours(1)});
+  Root.optional("flow_lifetime", bounded<duration>{Result.FlowLifetime, seconds(1), hours(168)});
+  Root.optional("max_flows", bounded<std::uint32_t>{Result.MaxFlows, 100, MaxFlowsLimit});
+  Root.requiredValue("listen", [&](const document_value &Value, const std::string &Path) {
+    readListen(Value, Path, Findings, Result);
+  });
+  Findings.throwIfAny();
+  return Result;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/forwarder_status.cpp
@@ -0,0 +1,127 @@
+#include "forwarder/forwarder_status.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace briarpoint {
+
+namespace {
+
+using labels = std::map<std::string, std::string>;
+
+/// A registry that lives as long as one answer. The values are counted elsewhere, so that counting
+/// costs nothing while packets are forwarded.
+class metrics_page {
+public:
+  void counter(const std::string &Name, const std::string &Help, const labels &Labels,
+               std::uint64_t Value) {
+    prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry).Add(Labels).Increment(
+        static_cast<double>(Value));
+  }
+  void gauge(const std::string &Name, const std::string &Help, const labels &Labels, double Value) {
+    prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add(Labels).Set(Value);
+  }
+  std::string text() const {
+    std::ostringstream Out;
+    prometheus::TextSerializer().Serialize(Out, Registry.Collect());
+    return Out.str();
+  }
+
+private:
+  prometheus::Registry Registry{prometheus::Registry::InsertBehavior::Merge};
+};
+
+void addDecisions(metrics_page &Page, const forwarder_counters &Counters) {
+  for (std::size_t Action = 0; Action < Counters.Decisions.size(); ++Action)
+    for (std::size_t Reason = 0; Reason < ForwardReasonCount; ++Reason)
+      if (const std::uint64_t Count = Counters.Decisions[Action][Reason])
+        Page.counter("briarpoint_forwarder_packets_total", "Packets of callers, by decision.",
+                     {{"action", std::string(toString(static_cast<forward_action>(Action)))},
+                      {"reason", std::string(toString(static_cast<forward_reason>(Reason)))}},
+                     Count);
+}
+
+void addCalls(metrics_page &Page, const std::string &Kind, const watch_counters &Counters) {
+  const std::string Name = "briarpoint_forwarder_store_calls_total";
+  const std::string Help = "Calls to the store.";
+  Page.counter(Name, Help, {{"kind", Kind}, {"call", "list"}}, Counters.Lists);
+  Page.counter(Name, Help, {{"kind", Kind}, {"call", "stale_list"}}, Counters.StaleLists);
+  Page.counter(Name, Help, {{"kind", Kind}, {"call", "watch"}}, Counters.Watches);
+}
+
+nlohmann::json describeTarget(const target &Target, instant Now) {
+  const target_registration &Registration = Target.Registration;
+  return {{"name", Registration.Name},
+          {"service", Registration.Service},
+          {"address", toString(Registration.Address)},
+          {"data_centre", Registration.DataCentre},
+          {"slots", Registration.Slots},
+          {"draining", Registration.Draining},
+          {"removed", Target.removed()},
+          {"gone", Target.gone(Now)},
+          {"suspected", Target.Health.suspected(Now)},
+          {"owns_token", Target.OwnsToken},
+          {"token", static_cast<std::uint32_t>(Target.Token)},
+          {"open_flows", Target.OpenFlows},
+          {"revision", Registration.Revision}};
+}
+
+} // namespace
+
+std::string metricsText(const forwarder_status &Status) {
+  metrics_page Page;
+  const forwarder_counters &Counters = Status.Counters;
+  addDecisions(Page, Counters);
+  Page.counter("briarpoint_forwarder_received_total", "Datagrams received.", {}, Counters.Received);
+  Page.counter("briarpoint_forwarder_sent_total", "Datagrams sent.", {}, Counters.Sent);
+  Page.counter("briarpoint_forwarder_malformed_total", "Datagrams that are no caller's packet.", {},
+               Counters.Malformed);
+  Page.counter("briarpoint_forwarder_refused_objects_total",
+               "Objects of the store that can't be read.", {{"kind", "registration"}},
+               Counters.RefusedRegistrations);
+  Page.counter("briarpoint_forwarder_refused_objects_total",
+               "Objects of the store that can't be read.", {{"kind", "configuration"}},
+               Counters.RefusedConfigurations);
+  Page.counter("briarpoint_forwarder_log_lines_left_out_total",
+               "Log lines over the rate, or unread.", {},
+               Status.SuppressedLines + Status.LinesNotWritten);
+  addCalls(Page, "registration", Status.RegistrationWatcher.counters());
+  addCalls(Page, "configuration", Status.ConfigurationWatcher.counters());
+  Page.gauge("briarpoint_forwarder_ready", "1 if callers' packets are forwarded.", {},
+             Status.Ready ? 1 : 0);
+  Page.gauge("briarpoint_forwarder_flows", "Flows that are followed.", {},
+             static_cast<double>(Status.Flows));
+  Page.gauge("briarpoint_forwarder_version", "Version of the configuration in force.", {},
+             static_cast<double>(Status.Routes.version()));
+  Status.Targets.forEach([&](const target &Target) {
+    Page.gauge("briarpoint_forwarder_target_flows", "Open flows, by target.",
+               {{"service", Target.Registration.Service}, {"target", Target.Registration.Name}},
+               Target.OpenFlows);
+  });
+  return Page.text();
+}
+
+std::string stateText(const forwarder_status &Status) {
+  nlohmann::json Targets = nlohmann::json::array();
+  Status.Targets.forEach(
+      [&](const target &Target) { Targets.push_back(describeTarget(Target, Status.Now)); });
+  const nlohmann::json State{
+      {"name", Status.Settings.Name},
+      {"data_centre", Status.Settings.DataCentre},
+      {"ready", Status.Ready},
+      {"version", Status.Routes.version()},
+      {"routes", Status.Routes.size()},
+      {"flows", Status.Flows},
+      {"registration_revision", Status.RegistrationWatcher.revision()},
+      {"configuration_revision", Status.ConfigurationWatcher.revision()},
+      {"targets", std::move(Targets)},
+  };
+  return State.dump(2) + "\n";
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/forwarder_status.h
@@ -0,0 +1,37 @@
+#ifndef BRIARPOINT_FORWARDER_FORWARDER_STATUS_H
+#define BRIARPOINT_FORWARDER_FORWARDER_STATUS_H
+
+#include "forward/route_table.h"
+#include "forward/target_registry.h"
+#include "forwarder/forwarder_counters.h"
+#include "forwarder/forwarder_settings.h"
+#include "store/object_watcher.h"
+
+#include <string>
+
+namespace briarpoint {
+
+/// Everything that metrics and the state dump show. Refers to the running objects.
+struct forwarder_status {
+  const forwarder_settings &Settings;
+  const forwarder_counters &Counters;
+  const route_table &Routes;
+  const target_registry &Targets;
+  const object_watcher &RegistrationWatcher;
+  const object_watcher &ConfigurationWatcher;
+  std::size_t Flows = 0;
+  bool Ready = false;
+  std::uint64_t SuppressedLines = 0;
+  std::uint64_t LinesNotWritten = 0;
+  instant Now{};
+};
+
+/// Returns the metrics in the text format of Prometheus.
+std::string metricsText(const forwarder_status &Status);
+
+/// Returns the state as JSON.
+std::string stateText(const forwarder_status &Status);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_FORWARDER_STATUS_H
--- /dev/null
+++ b/src/forwarder/packet_socket.cpp
@@ -0,0 +1,95 @@
+#include "forwarder/packet_socket.h"
+
+#include "io/sockets.h"
+
+namespace briarpoint {
+
+namespace {
+
+/// Datagrams handled by one call of the system; a larger batch saves nothing at some hundred
+/// packets a second.
+constexpr std::size_t BatchSize = 16;
+/// Batches handled before other events have their turn.
+constexpr int MaxBatches = 8;
+
+} // namespace
+
+packet_socket::packet_socket(const endpoint &Local, const packet_format &Format,
+                             packet_forwarder &Forwarder, time_source &Clock, forwarder_log &Log,
+                             forwarder_counters &Counters)
+    : Local(Local), Format(Format), Forwarder(Forwarder), Clock(Clock), Log(Log),
+      Counters(Counters), Socket(openUdpSocket(Local)), Incoming(BatchSize, Format.maxDatagram()),
+      Outgoing(BatchSize, Format.targetHeadSize(), 0) {}
+
+void packet_socket::receive() {
+  for (int Batch = 0; Batch < MaxBatches; ++Batch) {
+    const std::size_t Count = Incoming.receive(Socket.get());
+    const instant Now = Clock.now();
+    for (std::size_t I = 0; I < Count; ++I)
+      handle(Incoming.payload(I), Now);
+    flush();
+    if (Count < BatchSize)
+      break;
+  }
+}
+
+void packet_socket::handle(std::span<const std::byte> Datagram, instant Now) {
+  ++Counters.Received;
+  LastPacket = Now;
+  const std::optional<caller_packet> Packet = Format.parse(Datagram);
+  if (!Packet) {
+    ++Counters.Malformed;
+    Log.malformed(Datagram.size());
+    return;
+  }
+  const forward_decision Decision = Forwarder.decide(*Packet, Now);
+  count(Decision);
+  if (Decision.Action == forward_action::Forward)
+    forward(Datagram, *Decision.Target);
+  else if (Decision.Action == forward_action::Reset)
+    reset(Packet->Flow, Packet->Acknowledged);
+  if (Decision.Reason != forward_reason::Open || Decision.Repeats > 0)
+    Log.decision(*Packet, Decision, Format.requestId(Datagram), Now);
+}
+
+void packet_socket::forward(std::span<const std::byte> Datagram, const target &Target) {
+  Format.writeHead(Outgoing.nextHeader(), Datagram, Target);
+  Outgoing.push(toEndpoint(Target.Registration.Address), Format.targetHeadSize(),
+                Datagram.subspan(Format.headSize()), false);
+}
+
+void packet_socket::reset(const flow_address &Flow, std::uint32_t Acknowledged) {
+  const std::size_t Size = Format.writeReset(Outgoing.nextHeader(), Flow, Acknowledged);
+  // Callers receive at the port at which balancers do.
+  endpoint Caller = toEndpoint(Flow.Caller);
+  Caller.Port = Local.Port;
+  Outgoing.push(Caller, Size, {}, false);
+}
+
+void packet_socket::count(const forward_decision &Decision) {
+  ++Counters.Decisions.at(static_cast<std::size_t>(Decision.Action))
+        .at(static_cast<std::size_t>(Decision.Reason));
+}
+
+void packet_socket::flush() {
+  if (!Outgoing.empty())
+    Counters.Sent += Outgoing.flush(Socket.get());
+}
+
+void packet_socket::sweep() {
+  const instant Now = Clock.now();
+  Forwarder.sweep(Now, [&](const flow_address &Flow, const tracked_flow &Tracked) {
+    const forward_decision Decision{forward_action::Reset, forward_reason::TargetGone,
+                                    Tracked.Target, Tracked.Repeats};
+    count(Decision);
+    caller_packet Last;
+    Last.Flow = Flow;
+    Log.decision(Last, Decision, "", Now);
+    reset(Flow, Tracked.Acknowledged);
+    if (Outgoing.full())
+      flush();
+  });
+  flush();
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/packet_socket.h
@@ -0,0 +1,56 @@
+#ifndef BRIARPOINT_FORWARDER_PACKET_SOCKET_H
+#define BRIARPOINT_FORWARDER_PACKET_SOCKET_H
+
+#include "base/instant.h"
+#include "forward/packet_format.h"
+#include "forward/packet_forwarder.h"
+#include "forwarder/forwarder_counters.h"
+#include "forwarder/forwarder_log.h"
+#include "io/file_descriptor.h"
+#include "io/receive_batch.h"
+#include "io/send_batch.h"
+#include "io/time_source.h"
+
+namespace briarpoint {
+
+/// Receives callers' packets on a UDP socket, has the forwarder decide, and sends them on.
+class packet_socket {
+public:
+  /// Everything that is referred to must outlive the object.
+  /// \throws std::system_error if \p Local can't be bound.
+  packet_socket(const endpoint &Local, const packet_format &Format, packet_forwarder &Forwarder,
+                time_source &Clock, forwarder_log &Log, forwarder_counters &Counters);
+
+  int descriptor() const { return Socket.get(); }
+
+  /// Handles the datagrams that have arrived. Call it when the descriptor is readable.
+  void receive();
+
+  /// Ends flows of targets that are gone and forgets idle ones.
+  void sweep();
+
+  /// When the last packet was received.
+  instant lastPacket() const { return LastPacket; }
+
+private:
+  void handle(std::span<const std::byte> Datagram, instant Now);
+  void forward(std::span<const std::byte> Datagram, const target &Target);
+  void reset(const flow_address &Flow, std::uint32_t Acknowledged);
+  void count(const forward_decision &Decision);
+  void flush();
+
+  endpoint Local;
+  const packet_format &Format;
+  packet_forwarder &Forwarder;
+  time_source &Clock;
+  forwarder_log &Log;
+  forwarder_counters &Counters;
+  file_descriptor Socket;
+  receive_batch Incoming;
+  send_batch Outgoing;
+  instant LastPacket{};
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_PACKET_SOCKET_H
--- /dev/null
+++ b/src/forwarder/registration_feed.cpp
@@ -0,0 +1,78 @@
+#include "forwarder/registration_feed.h"
+
+#include "base/findings_error.h"
+
+namespace briarpoint {
+
+registration_feed::registration_feed(const object_format &Format, target_registry &Targets,
+                                     packet_forwarder &Forwarder, time_source &Clock,
+                                     event_log &Log, forwarder_counters &Counters)
+    : Format(Format), Targets(Targets), Forwarder(Forwarder), Clock(Clock), Log(Log),
+      Counters(Counters) {}
+
+std::optional<target_registration> registration_feed::parse(const stored_object &Object) {
+  try {
+    return Format.parseRegistration(Object);
+  } catch (const findings_error &Error) {
+    ++Counters.RefusedRegistrations;
+    Log.write(log_event::RegistrationRefused,
+              {{"finding", toString(Error.findings().front())},
+               {"findings", std::to_string(Error.findings().size())},
+               {"revision", std::to_string(Object.Revision)}});
+    return std::nullopt;
+  }
+}
+
+void registration_feed::logChange(const target_registration &Registration) {
+  Log.write(log_event::RegistrationChanged,
+            {{"target", Registration.Name},
+             {"service", Registration.Service},
+             {"address", toString(Registration.Address)},
+             {"state", Registration.Draining ? "draining" : "ready"},
+             {"revision", std::to_string(Registration.Revision)}});
+}
+
+void registration_feed::onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) {
+  std::vector<target_registration> Registrations;
+  for (const stored_object &Object : Objects)
+    if (std::optional<target_registration> Registration = parse(Object))
+      Registrations.push_back(std::move(*Registration));
+  Targets.replaceAll(Registrations, Revision, Clock.now());
+  Forwarder.setTargetsKnown();
+  Log.write(log_event::RegistrationChanged, {{"target", "*"},
+                                             {"targets", std::to_string(Registrations.size())},
+                                             {"revision", std::to_string(Revision)}});
+}
+
+void registration_feed::onChanges(const std::vector<object_change> &Changes,
+                                  std::uint64_t Revision) {
+  const instant Now = Clock.now();
+  for (const object_change &Change : Changes) {
+    if (Change.Deleted) {
+      Targets.remove(Change.Object.Name, Change.Object.Revision, Now);
+      Log.write(log_event::RegistrationChanged, {{"target", Change.Object.Name},
+                                                 {"state", "removed"},
+                                                 {"revision", std::to_string(Revision)}});
+    } else if (const std::optional<target_registration> Registration = parse(Change.Object)) {
+      Targets.put(*Registration, Now);
+      logChange(*Registration);
+    } else {
+      // An entry that turned unreadable names no target any more.
+      Targets.remove(Change.Object.Name, Change.Object.Revision, Now);
+    }
+  }
+}
+
+void registration_feed::onContact(bool InContact, call_outcome Outcome) {
+  logContact(Log, Format.registrationKind(), InContact, Outcome);
+}
+
+void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome) {
+  static constexpr std::array<std::string_view, CallOutcomeCount> Names{
+      "done", "history_gone", "refused", "unanswered", "malformed"};
+  Log.write(
+      InContact ? log_event::StoreRegained : log_event::StoreLost,
+      {{"kind", Kind}, {"outcome", std::string(Names.at(static_cast<std::size_t>(Outcome)))}});
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/registration_feed.h
@@ -0,0 +1,46 @@
+#ifndef BRIARPOINT_FORWARDER_REGISTRATION_FEED_H
+#define BRIARPOINT_FORWARDER_REGISTRATION_FEED_H
+
+#include "forward/object_format.h"
+#include "forward/packet_forwarder.h"
+#include "forward/target_registry.h"
+#include "forwarder/forwarder_counters.h"
+#include "io/time_source.h"
+#include "log/event_log.h"
+#include "store/object_listener.h"
+
+#include <optional>
+
+namespace briarpoint {
+
+/// Brings the targets' entries in the store into the registry. An entry that can't be read names no
+/// target to use; the others stay in use.
+class registration_feed final : public object_listener {
+public:
+  /// Everything that is referred to must outlive the object.
+  registration_feed(const object_format &Format, target_registry &Targets,
+                    packet_forwarder &Forwarder, time_source &Clock, event_log &Log,
+                    forwarder_counters &Counters);
+
+  void onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) override;
+  void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) override;
+  void onContact(bool InContact, call_outcome Outcome) override;
+
+private:
+  std::optional<target_registration> parse(const stored_object &Object);
+  void logChange(const target_registration &Registration);
+
+  const object_format &Format;
+  target_registry &Targets;
+  packet_forwarder &Forwarder;
+  time_source &Clock;
+  event_log &Log;
+  forwarder_counters &Counters;
+};
+
+/// Logs that contact with the store was lost or regained by the watch of a kind.
+void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome);
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_REGISTRATION_FEED_H
--- /dev/null
+++ b/src/forwarder/route_feed.cpp
@@ -0,0 +1,46 @@
+#include "forwarder/route_feed.h"
+
+#include "base/findings_error.h"
+#include "forwarder/registration_feed.h"
+
+namespace briarpoint {
+
+route_feed::route_feed(const object_format &Format, route_table &Routes, event_log &Log,
+                       forwarder_counters &Counters)
+    : Format(Format), Routes(Routes), Log(Log), Counters(Counters) {}
+
+void route_feed::apply(const stored_object &Object) {
+  if (Object.Name != Format.configurationName())
+    return;
+  try {
+    const routing_configuration Configuration = Format.parseConfiguration(Object);
+    const std::uint64_t Previous = Routes.version();
+    if (Routes.apply(Configuration))
+      Log.write(log_event::RoutesApplied, {{"version", std::to_string(Configuration.Version)},
+                                           {"previous", std::to_string(Previous)},
+                                           {"routes", std::to_string(Configuration.Routes.size())},
+                                           {"revision", std::to_string(Object.Revision)}});
+  } catch (const findings_error &Error) {
+    ++Counters.RefusedConfigurations;
+    Log.write(log_event::RoutesRefused, {{"finding", toString(Error.findings().front())},
+                                         {"findings", std::to_string(Error.findings().size())},
+                                         {"revision", std::to_string(Object.Revision)}});
+  }
+}
+
+void route_feed::onList(const std::vector<stored_object> &Objects, std::uint64_t) {
+  for (const stored_object &Object : Objects)
+    apply(Object);
+}
+
+void route_feed::onChanges(const std::vector<object_change> &Changes, std::uint64_t) {
+  for (const object_change &Change : Changes)
+    if (!Change.Deleted)
+      apply(Change.Object);
+}
+
+void route_feed::onContact(bool InContact, call_outcome Outcome) {
+  logContact(Log, Format.configurationKind(), InContact, Outcome);
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/route_feed.h
@@ -0,0 +1,35 @@
+#ifndef BRIARPOINT_FORWARDER_ROUTE_FEED_H
+#define BRIARPOINT_FORWARDER_ROUTE_FEED_H
+
+#include "forward/object_format.h"
+#include "forward/route_table.h"
+#include "forwarder/forwarder_counters.h"
+#include "log/event_log.h"
+#include "store/object_listener.h"
+
+namespace briarpoint {
+
+/// Brings the operators' configuration in the store into force. A configuration that can't be read,
+/// or is missing, leaves the one in force where it is.
+class route_feed final : public object_listener {
+public:
+  /// Everything that is referred to must outlive the object.
+  route_feed(const object_format &Format, route_table &Routes, event_log &Log,
+             forwarder_counters &Counters);
+
+  void onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) override;
+  void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) override;
+  void onContact(bool InContact, call_outcome Outcome) override;
+
+private:
+  void apply(const stored_object &Object);
+
+  const object_format &Format;
+  route_table &Routes;
+  event_log &Log;
+  forwarder_counters &Counters;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_ROUTE_FEED_H
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "io/event_loop.h"
 
+#include "io/timeval.h"
+
 #include <event2/event.h>
 
 #include <csignal>
@@ -7,15 +9,6 @@
 
 namespace briarpoint {
 
-namespace {
-
-timeval toTimeval(duration Length) {
-  const auto Micros = std::chrono::duration_cast<std::chrono::microseconds>(Length).count();
-  return {Micros / 1'000'000, Micros % 1'000'000};
-}
-
-} // namespace
-
 event_loop::event_loop() : Base(event_base_new()) {
   // libevent writes to sockets without MSG_NOSIGNAL. A caller that closes its connection must not
   // end the process.
--- /dev/null
+++ b/src/io/timer.cpp
@@ -0,0 +1,28 @@
+#include "io/timer.h"
+
+#include "io/timeval.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace briarpoint {
+
+timer::timer(event_loop &Loop, std::function<void()> Handler)
+    : Handler(std::move(Handler)), Event(event_new(Loop.base(), -1, 0, onTime, this)) {
+  if (Event == nullptr)
+    throw std::runtime_error("event_new failed");
+}
+
+timer::~timer() { event_free(Event); }
+
+void timer::onTime(int, short, void *Argument) { static_cast<timer *>(Argument)->Handler(); }
+
+void timer::set(duration Delay) {
+  const timeval Time = toTimeval(std::max(Delay, duration::zero()));
+  event_add(Event, &Time);
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/io/timer.h
@@ -0,0 +1,31 @@
+#ifndef BRIARPOINT_IO_TIMER_H
+#define BRIARPOINT_IO_TIMER_H
+
+#include "io/event_loop.h"
+
+#include <functional>
+
+namespace briarpoint {
+
+/// A timer on an event loop that fires once each time it is set.
+class timer {
+public:
+  /// \p Loop must outlive the timer.
+  timer(event_loop &Loop, std::function<void()> Handler);
+  ~timer();
+  timer(const timer &) = delete;
+  timer &operator=(const timer &) = delete;
+
+  /// Fires after \p Delay instead of at the time set before.
+  void set(duration Delay);
+
+private:
+  static void onTime(int, short, void *Argument);
+
+  std::function<void()> Handler;
+  event *Event;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_IO_TIMER_H
--- a/src/daemon/event_log.cpp
+++ b/src/log/event_log.cpp
@@ -1,7 +1,12 @@
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 namespace briarpoint {
 
 namespace {
@@ -34,19 +39,45 @@
   return spdlog::level::err;
 }
 
+/// Writes each line by one call to a descriptor that doesn't block. For one thread.
+class non_blocking_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+public:
+  non_blocking_sink(int Descriptor, std::uint64_t &Dropped)
+      : Descriptor(Descriptor), Dropped(Dropped) {
+    fcntl(Descriptor, F_SETFL, fcntl(Descriptor, F_GETFL) | O_NONBLOCK);
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override {
+    spdlog::memory_buf_t Line;
+    formatter_->format(Message, Line);
+    // A line of up to PIPE_BUF bytes is written whole or not at all.
+    if (write(Descriptor, Line.data(), Line.size()) != static_cast<ssize_t>(Line.size()))
+      ++Dropped;
+  }
+  void flush_() override {}
+
+private:
+  int Descriptor;
+  std::uint64_t &Dropped;
+};
+
+constexpr const char *LinePattern = "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v";
+
 } // namespace
 
-event_log::event_log(std::shared_ptr<spdlog::logger> Logger, time_source &Clock)
-    : Logger(std::move(Logger)), Clock(Clock) {}
+event_log::event_log(std::shared_ptr<spdlog::logger> Logger, time_source &Clock,
+                     const event_log_limits &Limits)
+    : Logger(std::move(Logger)), Clock(Clock), Limits(Limits) {}
 
 void event_log::write(log_event Event, std::initializer_list<log_field> Fields) {
   rate &Rate = Rates[Event];
   const instant Now = Clock.now();
   if (Now >= Rate.WindowEnd) {
-    Rate.WindowEnd = Now + RateWindow;
+    Rate.WindowEnd = Now + Limits.RateWindow;
     Rate.Written = 0;
   }
-  if (Rate.Written >= MaxPerWindow) {
+  if (Rate.Written >= Limits.MaxPerWindow) {
     ++Rate.LeftOut;
     ++Suppressed;
     return;
@@ -68,9 +99,16 @@
 std::shared_ptr<spdlog::logger> makeStandardErrorLogger() {
   auto Logger = std::make_shared<spdlog::logger>("briarpoint",
                                                  std::make_shared<spdlog::sinks::stderr_sink_mt>());
-  Logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+  Logger->set_pattern(LinePattern);
   Logger->flush_on(spdlog::level::info);
   return Logger;
 }
 
+std::shared_ptr<spdlog::logger> makeNonBlockingLogger(std::uint64_t &Dropped) {
+  auto Logger = std::make_shared<spdlog::logger>(
+      "briarpoint", std::make_shared<non_blocking_sink>(STDOUT_FILENO, Dropped));
+  Logger->set_pattern(LinePattern);
+  return Logger;
+}
+
 } // namespace briarpoint
--- a/src/daemon/event_log.h
+++ b/src/log/event_log.h
@@ -1,8 +1,8 @@
-#ifndef BRIARPOINT_DAEMON_EVENT_LOG_H
-#define BRIARPOINT_DAEMON_EVENT_LOG_H
+#ifndef BRIARPOINT_LOG_EVENT_LOG_H
+#define BRIARPOINT_LOG_EVENT_LOG_H
 
-#include "daemon/log_event.h"
 #include "io/time_source.h"
+#include "log/log_event.h"
 
 #include <spdlog/logger.h>
 
@@ -20,16 +20,19 @@
   std::string Value;
 };
 
+/// Lines of one event that are written within a time; the rest is counted.
+struct event_log_limits {
+  std::uint32_t MaxPerWindow = 10;
+  duration RateWindow = std::chrono::seconds(10);
+};
+
 /// Writes events as lines of key=value pairs and limits the rate of each event, so that hostile
 /// input can't flood the log. Not thread-safe.
 class event_log {
 public:
-  /// Lines of one event per RateWindow; the rest is counted.
-  static constexpr std::uint32_t MaxPerWindow = 10;
-  static constexpr duration RateWindow = std::chrono::seconds(10);
-
   /// \p Clock must outlive the log.
-  event_log(std::shared_ptr<spdlog::logger> Logger, time_source &Clock);
+  event_log(std::shared_ptr<spdlog::logger> Logger, time_source &Clock,
+            const event_log_limits &Limits = {});
 
   void write(log_event Event, std::initializer_list<log_field> Fields = {});
 
@@ -48,6 +51,7 @@
 
   std::shared_ptr<spdlog::logger> Logger;
   time_source &Clock;
+  event_log_limits Limits;
   std::uint64_t Suppressed = 0;
   std::map<log_event, rate> Rates;
 };
@@ -55,6 +59,10 @@
 /// Returns a logger that writes to the standard error stream.
 std::shared_ptr<spdlog::logger> makeStandardErrorLogger();
 
+/// Returns a logger that writes to the standard output and never waits for its reader: lines that
+/// don't fit into the pipe are dropped and counted in \p Dropped, which must outlive the logger.
+std::shared_ptr<spdlog::logger> makeNonBlockingLogger(std::uint64_t &Dropped);
+
 } // namespace briarpoint
 
-#endif // BRIARPOINT_DAEMON_EVENT_LOG_H
+#endif // BRIARPOINT_LOG_EVENT_LOG_H
--- a/src/daemon/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -1,4 +1,4 @@
-#include "daemon/log_event.h"
+#include "log/log_event.h"
 
 #include <algorithm>
 #include <array>
@@ -52,6 +52,33 @@
                    "operator request was refused"},
     log_definition{log_event::OperatorWrite, "operator_write", Info,
                    "operator request that changes state"},
+    log_definition{log_event::ForwarderReady, "forwarder_ready", Info,
+                   "routes and targets are known; ready for packets"},
+    log_definition{log_event::RoutesApplied, "routes_applied", Info,
+                   "another version of the routes is in force"},
+    log_definition{log_event::RoutesRefused, "routes_refused", Error,
+                   "a configuration was refused; the one in force stays"},
+    log_definition{log_event::StoreLost, "store_lost", Warning,
+                   "a call to the store failed; the last known state stays in force"},
+    log_definition{log_event::StoreRegained, "store_regained", Info, "the store answers again"},
+    log_definition{log_event::RegistrationRefused, "registration_refused", Warning,
+                   "entry of a target was refused; the others stay in use"},
+    log_definition{log_event::RegistrationChanged, "registration_changed", Info,
+                   "entry of a target changed"},
+    log_definition{log_event::TargetSuspected, "target_suspected", Warning,
+                   "callers get no answer from a target; new flows avoid it"},
+    log_definition{log_event::TargetAnswered, "target_answered", Info,
+                   "a suspected target answers again"},
+    log_definition{log_event::FlowPlaced, "flow_placed", Info, "new flow was placed on a target"},
+    log_definition{log_event::FlowPlacedAgain, "flow_placed_again", Info,
+                   "caller repeated the packet that opens a flow"},
+    log_definition{log_event::FlowReset, "flow_reset", Warning,
+                   "caller was told that a flow is over"},
+    log_definition{log_event::PacketDropped, "packet_dropped", Warning, "packet was dropped"},
+    log_definition{log_event::PacketRepeated, "packet_repeated", Info,
+                   "caller repeated a packet of an open flow"},
+    log_definition{log_event::PacketMalformed, "packet_malformed", Warning,
+                   "datagram is not a caller's packet"},
 };
 
 } // namespace
--- a/src/daemon/log_event.h
+++ b/src/log/log_event.h
@@ -1,5 +1,5 @@
-#ifndef BRIARPOINT_DAEMON_LOG_EVENT_H
-#define BRIARPOINT_DAEMON_LOG_EVENT_H
+#ifndef BRIARPOINT_LOG_LOG_EVENT_H
+#define BRIARPOINT_LOG_LOG_EVENT_H
 
 #include "config/log_level.h"
 
@@ -36,6 +36,21 @@
   TargetChanged = 1502,
   OperatorRequestRefused = 1601,
   OperatorWrite = 1602,
+  ForwarderReady = 2001,
+  RoutesApplied = 2002,
+  RoutesRefused = 2003,
+  StoreLost = 2004,
+  StoreRegained = 2005,
+  RegistrationRefused = 2101,
+  RegistrationChanged = 2102,
+  TargetSuspected = 2103,
+  TargetAnswered = 2104,
+  FlowPlaced = 2201,
+  FlowPlacedAgain = 2202,
+  FlowReset = 2203,
+  PacketDropped = 2204,
+  PacketRepeated = 2205,
+  PacketMalformed = 2206,
 };
 
 /// An entry of the catalogue of events.
@@ -54,4 +69,4 @@
 
 } // namespace briarpoint
 
-#endif // BRIARPOINT_DAEMON_LOG_EVENT_H
+#endif // BRIARPOINT_LOG_LOG_EVENT_H
--- /dev/null
+++ b/src/store/object_api.h
@@ -0,0 +1,89 @@
+#ifndef BRIARPOINT_STORE_OBJECT_API_H
+#define BRIARPOINT_STORE_OBJECT_API_H
+
+#include "base/instant.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace briarpoint {
+
+/// An object of the platform's store.
+struct stored_object {
+  std::string Name;
+  /// Revision of the store at which the object was created and last changed.
+  std::uint64_t Created = 0;
+  std::uint64_t Revision = 0;
+  /// Content as JSON text.
+  std::string Value;
+
+  auto operator<=>(const stored_object &) const = default;
+};
+
+/// A change that a watch reports.
+struct object_change {
+  stored_object Object;
+  bool Deleted = false;
+
+  auto operator<=>(const object_change &) const = default;
+};
+
+/// How a call ended.
+enum class call_outcome : std::uint8_t {
+  Done,
+  /// The store no longer has the history that a watch asked for.
+  HistoryGone,
+  /// The store refused the call (over its rate, or unavailable). Nothing was done.
+  Refused,
+  /// No answer within the limits: unreachable, silent, or the connection ended.
+  Unanswered,
+  /// The answer can't be read.
+  Malformed,
+};
+
+inline constexpr std::size_t CallOutcomeCount = 5;
+
+/// How old the data of a read may be.
+enum class freshness : std::uint8_t {
+  Linearizable,
+  /// May be seconds old; costs the store a tenth.
+  Stale,
+};
+
+/// Answer to a list call: one page.
+struct list_answer {
+  call_outcome Outcome = call_outcome::Unanswered;
+  std::vector<stored_object> Objects;
+  /// Further objects follow after the last one.
+  bool More = false;
+  /// The store's revision at the time of the answer.
+  std::uint64_t Revision = 0;
+};
+
+/// Answer to a watch call: the changes after the given revision, oldest first.
+struct watch_answer {
+  call_outcome Outcome = call_outcome::Unanswered;
+  std::vector<object_change> Changes;
+  std::uint64_t Revision = 0;
+};
+
+/// Reads objects of the platform's store over one connection. One call may be in progress; its
+/// callback comes once, later, from the event loop. Destroying the object drops the call.
+class object_api {
+public:
+  virtual ~object_api() = default;
+
+  /// Reads a page of the objects of a kind whose names follow \p After.
+  virtual void list(const std::string &Kind, const std::string &After, freshness Freshness,
+                    std::function<void(list_answer)> Done) = 0;
+
+  /// Waits until an object of the kind has changed since \p Revision, \p Wait at most.
+  virtual void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
+                     std::function<void(watch_answer)> Done) = 0;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STORE_OBJECT_API_H
--- /dev/null
+++ b/src/store/object_listener.h
@@ -0,0 +1,23 @@
+#ifndef BRIARPOINT_STORE_OBJECT_LISTENER_H
+#define BRIARPOINT_STORE_OBJECT_LISTENER_H
+
+#include "store/object_api.h"
+
+namespace briarpoint {
+
+/// Is told what an object_watcher learns about one kind of objects.
+class object_listener {
+public:
+  virtual ~object_listener() = default;
+
+  /// All objects of the kind, as of \p Revision. Changes since the last call may have been missed.
+  virtual void onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) = 0;
+  /// Changes in the order of their revisions; \p Revision is that of the last one or later.
+  virtual void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) = 0;
+  /// Contact with the store was lost or regained. \p Outcome tells how the last call ended.
+  virtual void onContact(bool InContact, call_outcome Outcome) = 0;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STORE_OBJECT_LISTENER_H
--- /dev/null
+++ b/src/store/object_watcher.cpp
@@ -0,0 +1,102 @@
+#include "store/object_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarpoint {
+
+object_watcher::object_watcher(std::string Kind, const object_watcher_settings &Settings,
+                               object_api &Api, object_listener &Listener, scheduler &Scheduler,
+                               random_source &Random)
+    : Kind(std::move(Kind)), Settings(Settings), Api(Api), Listener(Listener), Scheduler(Scheduler),
+      Random(Random) {}
+
+void object_watcher::start() { startList(); }
+
+void object_watcher::callAfter(duration Delay) {
+  Scheduler.runAt(Scheduler.now() + Delay, [this] {
+    if (NextKind == call_kind::List)
+      startList();
+    else
+      startWatch();
+  });
+}
+
+void object_watcher::startList() {
+  ++(ListFreshness == freshness::Stale ? Counters.StaleLists : Counters.Lists);
+  const std::string After = Pages.empty() ? "" : Pages.back().Name;
+  Api.list(Kind, After, ListFreshness,
+           [this](list_answer Answer) { finishList(std::move(Answer)); });
+}
+
+void object_watcher::startWatch() {
+  ++Counters.Watches;
+  const duration Wait = Failures > 0 ? Settings.ProbeWait : Settings.Wait;
+  const auto Jitter =
+      static_cast<duration::rep>(Random.below(static_cast<std::uint64_t>(Wait.count() / 10 + 1)));
+  Api.watch(Kind, Revision, Wait - duration(Jitter),
+            [this](const watch_answer &Answer) { finishWatch(Answer); });
+}
+
+void object_watcher::finishList(list_answer Answer) {
+  if (Answer.Outcome != call_outcome::Done) {
+    Pages.clear();
+    fail(Answer.Outcome);
+    return;
+  }
+  // The first page is the oldest: watching from its revision misses nothing of the later ones.
+  if (Pages.empty())
+    PagesRevision = Answer.Revision;
+  std::move(Answer.Objects.begin(), Answer.Objects.end(), std::back_inserter(Pages));
+  succeed();
+  if (Answer.More && !Answer.Objects.empty()) {
+    startList();
+    return;
+  }
+  const std::vector<stored_object> Objects = std::exchange(Pages, {});
+  // A stale list may be older than what is known already.
+  if (PagesRevision < Revision) {
+    ListFreshness = freshness::Linearizable;
+    callAfter(duration::zero());
+    return;
+  }
+  Revision = PagesRevision;
+  NextKind = call_kind::Watch;
+  Listener.onList(Objects, Revision);
+  callAfter(duration::zero());
+}
+
+void object_watcher::finishWatch(const watch_answer &Answer) {
+  if (Answer.Outcome == call_outcome::HistoryGone) {
+    ++Counters.Outcomes[static_cast<std::size_t>(Answer.Outcome)];
+    NextKind = call_kind::List;
+    ListFreshness = freshness::Linearizable;
+    callAfter(duration::zero());
+    return;
+  }
+  if (Answer.Outcome != call_outcome::Done) {
+    fail(Answer.Outcome);
+    return;
+  }
+  Revision = std::max(Revision, Answer.Revision);
+  succeed();
+  if (!Answer.Changes.empty())
+    Listener.onChanges(Answer.Changes, Revision);
+  callAfter(Answer.Changes.empty() ? duration::zero() : Settings.Gather);
+}
+
+void object_watcher::fail(call_outcome Outcome) {
+  ++Counters.Outcomes[static_cast<std::size_t>(Outcome)];
+  if (Failures++ == 0)
+    Listener.onContact(false, Outcome);
+  const instant Now = Scheduler.now();
+  callAfter(*nextRetry(Settings.Backoff, Failures - 1, Now, Never, Random) - Now);
+}
+
+void object_watcher::succeed() {
+  ++Counters.Outcomes[static_cast<std::size_t>(call_outcome::Done)];
+  if (std::exchange(Failures, 0) > 0)
+    Listener.onContact(true, call_outcome::Done);
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/store/object_watcher.h
@@ -0,0 +1,75 @@
+#ifndef BRIARPOINT_STORE_OBJECT_WATCHER_H
+#define BRIARPOINT_STORE_OBJECT_WATCHER_H
+
+#include "base/random_source.h"
+#include "core/request/backoff.h"
+#include "store/object_listener.h"
+#include "store/scheduler.h"
+#include "store/watch_counters.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace briarpoint {
+
+/// Settings of object_watcher.
+struct object_watcher_settings {
+  /// Time that a watch waits at the store for a change; up to a tenth is taken off at random, so
+  /// that balancers don't call at the same time. Each watch is one priced call.
+  duration Wait = std::chrono::seconds(15);
+  /// Wait of the first watch after a failure: short, because only its answer proves that the
+  /// connection works again.
+  duration ProbeWait = std::chrono::milliseconds(300);
+  /// Time between a change and the next watch. Changes come in groups, and each watch that returns
+  /// is a priced call; a change may take 3 s to be in force.
+  duration Gather = std::chrono::milliseconds(200);
+  backoff_settings Backoff{std::chrono::milliseconds(100), std::chrono::milliseconds(1000)};
+};
+
+/// Keeps a listener up to date about all objects of one kind: a list, then watches. After a gap in
+/// the store's history it lists again. It never reports an older list than what it reported before.
+class object_watcher {
+public:
+  /// Everything that is referred to must outlive the object.
+  object_watcher(std::string Kind, const object_watcher_settings &Settings, object_api &Api,
+                 object_listener &Listener, scheduler &Scheduler, random_source &Random);
+
+  /// Makes the first call.
+  void start();
+
+  /// The store's revision up to which everything was reported; 0 before the first list.
+  std::uint64_t revision() const { return Revision; }
+  const watch_counters &counters() const { return Counters; }
+
+private:
+  enum class call_kind : std::uint8_t { List, Watch };
+
+  void startList();
+  void startWatch();
+  void finishList(list_answer Answer);
+  void finishWatch(const watch_answer &Answer);
+  void fail(call_outcome Outcome);
+  void succeed();
+  void callAfter(duration Delay);
+
+  std::string Kind;
+  object_watcher_settings Settings;
+  object_api &Api;
+  object_listener &Listener;
+  scheduler &Scheduler;
+  random_source &Random;
+
+  call_kind NextKind = call_kind::List;
+  freshness ListFreshness = freshness::Stale;
+  /// Pages of the list in progress, and the revision of the first one.
+  std::vector<stored_object> Pages;
+  std::uint64_t PagesRevision = 0;
+  std::uint64_t Revision = 0;
+  std::uint32_t Failures = 0;
+  watch_counters Counters;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STORE_OBJECT_WATCHER_H
--- /dev/null
+++ b/src/store/watch_counters.h
@@ -0,0 +1,24 @@
+#ifndef BRIARPOINT_STORE_WATCH_COUNTERS_H
+#define BRIARPOINT_STORE_WATCH_COUNTERS_H
+
+#include "store/object_api.h"
+
+#include <array>
+#include <cstdint>
+
+namespace briarpoint {
+
+/// Calls of an object_watcher since the start.
+struct watch_counters {
+  std::uint64_t Lists = 0;
+  std::uint64_t StaleLists = 0;
+  std::uint64_t Watches = 0;
+  /// By call_outcome.
+  std::array<std::uint64_t, CallOutcomeCount> Outcomes{};
+
+  auto operator<=>(const watch_counters &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STORE_WATCH_COUNTERS_H
--- a/tests/daemon/catalogue_test.cpp
+++ b/tests/daemon/catalogue_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/event_log.h"
+#include "log/event_log.h"
 #include "daemon/metrics.h"
 
 #include <gtest/gtest.h>
@@ -163,11 +163,11 @@
 TEST_F(log_to_text, limitsEachEvent) {
   for (int I = 0; I < 100; ++I)
     Log.write(log_event::PeerMessageRefused);
-  EXPECT_EQ(lineCount(), event_log::MaxPerWindow);
-  EXPECT_EQ(Log.suppressed(), 100 - event_log::MaxPerWindow);
+  EXPECT_EQ(lineCount(), event_log_limits().MaxPerWindow);
+  EXPECT_EQ(Log.suppressed(), 100 - event_log_limits().MaxPerWindow);
   Log.write(log_event::BalancerReady);
-  EXPECT_EQ(lineCount(), event_log::MaxPerWindow + 1);
-  Clock.Now += event_log::RateWindow;
+  EXPECT_EQ(lineCount(), event_log_limits().MaxPerWindow + 1);
+  Clock.Now += event_log_limits().RateWindow;
   Log.write(log_event::PeerMessageRefused);
   EXPECT_NE(lines().find("suppressed=90"), std::string::npos);
 }
