--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -47,6 +47,7 @@
       return {forward_action::Reset, forward_reason::NoTarget};
     Flows.erase(Packet.Flow);
     Flows.add(Packet, Chosen, Now);
+    Chosen->Health.placed(Now);
     return {forward_action::Forward, forward_reason::Placed, Chosen};
   }
 
@@ -61,6 +62,7 @@
   if (Other == nullptr)
     return {forward_action::Reset, forward_reason::NoTarget};
   flow_tracker::move(*Flow, Other);
+  Other->Health.placed(Now);
   return {forward_action::Forward, forward_reason::PlacedAgain, Other, Flow->Repeats};
 }
 
--- a/src/forward/target_health.cpp
+++ b/src/forward/target_health.cpp
@@ -1,8 +1,21 @@
 #include "forward/target_health.h"
 
+#include <algorithm>
+
 namespace briarpoint {
 
+void target_health::placed(instant Now) {
+  if (DoubtFrom != Never && Now < DoubtUntil)
+    return;
+  DoubtFrom = Now + HandshakeTime;
+  DoubtUntil = DoubtFrom + DoubtTime * (1U << Doubts);
+  Doubts = std::min(Doubts + 1, MaxDoubts);
+}
+
 void target_health::answered() {
+  DoubtFrom = Never;
+  DoubtUntil = instant{};
+  Doubts = 0;
   if (Repeats == 0)
     return;
   ++Epoch;
--- a/src/forward/target_health.h
+++ b/src/forward/target_health.h
@@ -22,9 +22,23 @@
   /// again.
   static constexpr duration SuspicionTime = std::chrono::milliseconds(3000);
 
+  /// Time in which a caller completes a handshake, with room for slow instances: packets take a few
+  /// milliseconds. A target that refuses flows is known only by handshakes that aren't completed.
+  static constexpr duration HandshakeTime = std::chrono::milliseconds(30);
+  /// A doubt lapses after this time, doubled with each further one up to the limit, so that a target
+  /// that returned is tried again at the price of few flows.
+  static constexpr duration DoubtTime = std::chrono::milliseconds(1000);
+  static constexpr std::uint32_t MaxDoubts = 3;
+
+  /// A new flow was placed on the target.
+  void placed(instant Now);
+
   /// A caller has an answer from the target.
   void answered();
 
+  /// A handshake wasn't completed in time, and no other caller has had an answer since.
+  bool doubted(instant Now) const { return Now >= DoubtFrom && Now < DoubtUntil; }
+
   /// A caller of the target repeated a packet. \p FlowEpoch is the epoch at which this flow last
   /// reported a repeat; the return value is the new one.
   std::uint32_t repeated(std::uint32_t FlowEpoch, instant Now);
@@ -46,6 +60,11 @@
   std::uint32_t Flows = 0;
   instant DeadAt = Never;
   instant LapsesAt{};
+  /// Of the oldest handshake in progress.
+  instant DoubtFrom = Never;
+  instant DoubtUntil{};
+  /// Doubts since the last answer.
+  std::uint32_t Doubts = 0;
 };
 
 } // namespace briarpoint
