End flows of silent targets sooner, and gather registrations for a second

Each registration that changes costs each node a priced call. Ruled out: moving repeats of a SYN to a second target at the first repeat (two answers would confuse the caller about the token). Change: 400 ms instead of 1 s after the first repeat for two flows, 1.1 s and three repeats for one; flows that arrive later end at their first packet. A repeat that waited in the node's own queue doesn't count. Registrations are gathered for 1 s (the bound is 3 s; draining targets still accept). Suspicions are logged. Tests for forward, store and the adapter.

--- a/src/forward/flow_tracker.cpp
+++ b/src/forward/flow_tracker.cpp
@@ -28,6 +28,8 @@
                                          Packet.Sequence == Flow.Sequence &&
                                          Packet.Acknowledged == Flow.Acknowledged;
   if (Repeat) {
+    if (Now - Flow.SentAt < RepeatTime)
+      return;
     ++Flow.Repeats;
     if (Flow.Target != nullptr)
       Flow.HealthEpoch = Flow.Target->Health.repeated(Flow.HealthEpoch, Now);
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -14,6 +14,10 @@
 /// number of flows; further ones are forwarded without being followed.
 class flow_tracker {
 public:
+  /// A repeat that comes sooner than this after the packet it repeats waited in the balancer's own
+  /// queue, and says nothing about the target. Callers repeat after 200 ms.
+  static constexpr duration RepeatTime = std::chrono::milliseconds(120);
+
   explicit flow_tracker(std::size_t MaxFlows) : MaxFlows(MaxFlows) {}
   flow_tracker(const flow_tracker &) = delete;
   flow_tracker &operator=(const flow_tracker &) = delete;
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -53,8 +53,7 @@
 
   // Two targets that both answer would confuse the caller about the token, so a repeat goes to the
   // same target unless that one is thought dead.
-  if (Now - Flow->SentAt >= Settings.RepeatTime)
-    Flows.observe(*Flow, Packet, Now);
+  Flows.observe(*Flow, Packet, Now);
   target *Current = Flow->Target;
   if (!Current->Health.suspected(Now) && Current->accepts(Now))
     return {forward_action::Forward, forward_reason::PlacedAgain, Current, Flow->Repeats};
@@ -87,7 +86,7 @@
     Flow = Flows.add(Packet, Found, Now);
 
   const std::uint32_t Repeats = Flow == nullptr ? 0 : Flow->Repeats;
-  if (Repeats > 0 && silent(*Found, Now)) {
+  if (silent(*Found, Now)) {
     const forward_reason Reason =
         Found->gone(Now) ? forward_reason::TargetGone : forward_reason::TargetSilent;
     Flows.erase(Packet.Flow);
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -16,9 +16,6 @@
 struct packet_forwarder_settings {
   /// Flows that are followed at most; a tracked flow takes about 120 bytes.
   std::size_t MaxFlows = 20'000;
-  /// A repeat that comes sooner than this after the packet it repeats waited in this balancer's own
-  /// queue, and says nothing about the target. Callers repeat after 200 ms.
-  duration RepeatTime = std::chrono::milliseconds(120);
   /// Time for which packets with an unknown token are dropped before the flow is reset. The target
   /// may have registered a moment ago; the caller repeats its packet meanwhile.
   duration UnknownTokenTime = std::chrono::milliseconds(1500);
--- a/src/forward/target_chooser.h
+++ b/src/forward/target_chooser.h
@@ -11,9 +11,10 @@
 /// Chooses the target of a new flow.
 ///
 /// Targets of the own data centre go first: a cut between data centres then breaks no flow, and no
-/// bytes are paid for between them. Suspected and doubted targets come after all others. Among equals the one
-/// with the fewest open flows of this balancer for its slots is taken; ties are broken at random,
-/// so that balancers that know nothing of each other don't agree on the same target.
+/// bytes are paid for between them. Suspected and doubted targets come after all others. Among
+/// equals the one with the fewest open flows of this balancer for its slots is taken; ties are
+/// broken at random, so that balancers that know nothing of each other don't agree on the same
+/// target.
 class target_chooser {
 public:
   /// A target that warms up counts as having this many times its open flows. The platform states
--- a/src/forward/target_health.cpp
+++ b/src/forward/target_health.cpp
@@ -21,7 +21,6 @@
   ++Epoch;
   Repeats = 0;
   Flows = 0;
-  DeadAt = Never;
 }
 
 std::uint32_t target_health::repeated(std::uint32_t FlowEpoch, instant Now) {
@@ -29,7 +28,7 @@
   if (Repeats > 0 && Now >= LapsesAt)
     answered();
   if (Repeats++ == 0)
-    DeadAt = Now + DeadAfter;
+    FirstRepeatAt = Now;
   if (FlowEpoch != Epoch)
     ++Flows;
   LapsesAt = Now + SuspicionTime;
--- a/src/forward/target_health.h
+++ b/src/forward/target_health.h
@@ -15,9 +15,15 @@
   /// Repeated packets without an answer in between after which a target is suspected. One
   /// may be a lost datagram.
   static constexpr std::uint32_t SuspectAfterRepeats = 2;
-  /// Distinct flows and time without an answer after which flows of a silent target are ended.
+  /// Distinct flows, and time without an answer since the first repeat, after which flows of a
+  /// silent target are ended. A caller repeats after 200 ms, and a full queue of a target that
+  /// works takes about as long, so a target that works has answered somebody by then.
   static constexpr std::uint32_t DeadAfterFlows = 2;
-  static constexpr duration DeadAfter = std::chrono::milliseconds(1000);
+  static constexpr duration DeadAfter = std::chrono::milliseconds(400);
+  /// The same for a single flow, which repeats after 200, 600 and 1,400 ms: its caller has time for
+  /// another try then.
+  static constexpr std::uint32_t DeadAfterRepeats = 3;
+  static constexpr duration DeadAfterOneFlow = std::chrono::milliseconds(1100);
   /// A suspicion lapses this long after the last repeat, so that a target without flows is tried
   /// again.
   static constexpr duration SuspicionTime = std::chrono::milliseconds(3000);
@@ -25,8 +31,8 @@
   /// Time in which a caller completes a handshake, with room for slow instances: packets take a few
   /// milliseconds. A target that refuses flows is known only by handshakes that aren't completed.
   static constexpr duration HandshakeTime = std::chrono::milliseconds(30);
-  /// A doubt lapses after this time, doubled with each further one up to the limit, so that a target
-  /// that returned is tried again at the price of few flows.
+  /// A doubt lapses after this time, doubled with each further one up to the limit, so that a
+  /// target that returned is tried again at the price of few flows.
   static constexpr duration DoubtTime = std::chrono::milliseconds(1000);
   static constexpr std::uint32_t MaxDoubts = 3;
 
@@ -46,9 +52,11 @@
   /// The target should get no new flows.
   bool suspected(instant Now) const { return Repeats >= SuspectAfterRepeats && Now < LapsesAt; }
 
-  /// Several flows have waited so long that their callers are better off with new flows.
+  /// Callers of the target are better off with new flows.
   bool dead(instant Now) const {
-    return suspected(Now) && Flows >= DeadAfterFlows && Now >= DeadAt;
+    return suspected(Now) &&
+           ((Flows >= DeadAfterFlows && Now >= FirstRepeatAt + DeadAfter) ||
+            (Repeats >= DeadAfterRepeats && Now >= FirstRepeatAt + DeadAfterOneFlow));
   }
 
   std::uint32_t repeats() const { return Repeats; }
@@ -58,7 +66,7 @@
   std::uint32_t Epoch = 1;
   std::uint32_t Repeats = 0;
   std::uint32_t Flows = 0;
-  instant DeadAt = Never;
+  instant FirstRepeatAt{};
   instant LapsesAt{};
   /// Of the oldest handshake in progress.
   instant DoubtFrom = Never;
--- a/src/forward/target_registry.h
+++ b/src/forward/target_registry.h
@@ -55,6 +55,7 @@
       Visit(*Target);
   }
 
+  bool contains(const std::string &Name) const { return Targets.contains(Name); }
   std::size_t size() const { return Targets.size(); }
 
 private:
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -27,6 +27,16 @@
 /// Part of the shutdown time that is kept for the end of the process itself.
 constexpr duration ShutdownReserve = std::chrono::milliseconds(500);
 
+/// Registrations change in groups, and a draining target goes on accepting flows, so they are
+/// gathered for longer than configurations.
+constexpr duration RegistrationGather = std::chrono::milliseconds(1000);
+
+object_watcher_settings registrationWatch() {
+  object_watcher_settings Result;
+  Result.Gather = RegistrationGather;
+  return Result;
+}
+
 std::uint64_t randomSeed() {
   std::random_device Device;
   return static_cast<std::uint64_t>(Device()) << 32U | Device();
@@ -93,8 +103,8 @@
         Configuration(Platform.Objects, Routes, Clock, Log, Counters,
                       [this] { receiveWhenReady(); }),
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
-        RegistrationWatcher(Platform.Objects.registrationKind(), {}, Platform.RegistrationApi,
-                            Registrations, RegistrationScheduler, Random),
+        RegistrationWatcher(Platform.Objects.registrationKind(), registrationWatch(),
+                            Platform.RegistrationApi, Registrations, RegistrationScheduler, Random),
         ConfigurationWatcher(Platform.Objects.configurationKind(), {}, Platform.ConfigurationApi,
                              Configuration, ConfigurationScheduler, Random),
         ReadinessServer(Loop, AllSettings.Readiness,
@@ -159,6 +169,7 @@
 
 void forwarder::parts::sweep() {
   Socket.sweep();
+  DecisionLog.targets(Targets, Clock.now());
   receiveWhenReady();
   if (!stopping())
     return;
--- a/src/forwarder/forwarder_log.cpp
+++ b/src/forwarder/forwarder_log.cpp
@@ -1,7 +1,5 @@
 #include "forwarder/forwarder_log.h"
 
-#include "forward/target.h"
-
 namespace briarpoint {
 
 namespace {
@@ -54,4 +52,21 @@
   Log.write(log_event::PacketMalformed, {{"size", std::to_string(Size)}});
 }
 
+void forwarder_log::targets(const target_registry &Targets, instant Now) {
+  Targets.forEach([&](const target &Target) {
+    const std::string &Name = Target.Registration.Name;
+    const bool Doubted = Target.Health.doubted(Now);
+    if (Target.Health.suspected(Now) || Doubted) {
+      if (Suspected.insert(Name).second)
+        Log.write(log_event::TargetSuspected, {{"target", Name},
+                                               {"service", Target.Registration.Service},
+                                               {"repeats", std::to_string(Target.Health.repeats())},
+                                               {"doubted", Doubted ? "yes" : "no"}});
+    } else if (Suspected.erase(Name) > 0) {
+      Log.write(log_event::TargetAnswered, {{"target", Name}});
+    }
+  });
+  std::erase_if(Suspected, [&](const std::string &Name) { return !Targets.contains(Name); });
+}
+
 } // namespace briarpoint
--- a/src/forwarder/forwarder_log.h
+++ b/src/forwarder/forwarder_log.h
@@ -4,8 +4,11 @@
 #include "forward/caller_packet.h"
 #include "forward/forward_decision.h"
 #include "forward/route_table.h"
+#include "forward/target_registry.h"
 #include "log/event_log.h"
 
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace briarpoint {
@@ -23,9 +26,14 @@
 
   void malformed(std::size_t Size);
 
+  /// Reports which targets became suspected, or are no longer, since the last call.
+  void targets(const target_registry &Targets, instant Now);
+
 private:
   event_log &Log;
   const route_table &Routes;
+  /// Names of the targets that were reported as suspected.
+  std::set<std::string, std::less<>> Suspected;
 };
 
 } // namespace briarpoint
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -23,7 +23,7 @@
   duration ProbeWait = std::chrono::milliseconds(300);
   /// Time between a change and the next watch. Changes come in groups, and each watch that returns
   /// is a priced call; a change may take 3 s to be in force.
-  duration Gather = std::chrono::milliseconds(200);
+  duration Gather = std::chrono::milliseconds(250);
   backoff_settings Backoff{std::chrono::milliseconds(100), std::chrono::milliseconds(1000)};
 };
 
--- /dev/null
+++ b/tests/forward/forward_support.h
@@ -0,0 +1,103 @@
+#ifndef BRIARPOINT_TESTS_FORWARD_FORWARD_SUPPORT_H
+#define BRIARPOINT_TESTS_FORWARD_FORWARD_SUPPORT_H
+
+#include "base/seeded_random.h"
+#include "forward/packet_forwarder.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace briarpoint {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A balancer in data centre "a" with one route to service "web", and its clock.
+class forwarding : public testing::Test {
+protected:
+  static constexpr ipv4_endpoint WebAddress{0xc6120001, 443};
+
+  forwarding() : Targets(makeSettings()), Forwarder({}, Routes, Targets, Random) {
+    Routes.apply({1, {{"web", WebAddress, 0, {{"web", 1}}}}, seconds(15)});
+    Forwarder.setTargetsKnown();
+  }
+
+  /// Registers a target, or changes its entry.
+  target_registration registration(const std::string &Name, std::uint64_t Number) {
+    target_registration Result;
+    Result.Name = Name;
+    Result.Number = Number;
+    Result.Service = "web";
+    Result.Address = {0x0a800000 + static_cast<std::uint32_t>(Number), 8080};
+    Result.DataCentre = "a";
+    Result.Slots = 2;
+    Result.Created = Number;
+    Result.Revision = ++Revision;
+    return Result;
+  }
+  target &add(const std::string &Name, std::uint64_t Number) {
+    Targets.put(registration(Name, Number), Now);
+    return *Targets.find(Name);
+  }
+
+  static flow_address flowFrom(std::uint16_t Port) { return {{0x64400007, Port}, WebAddress}; }
+
+  /// The caller opens a flow; \p Copies is the number of copies that it sent before.
+  forward_decision open(std::uint16_t Port, std::uint32_t Copies = 0) {
+    caller_packet Packet;
+    Packet.Flow = flowFrom(Port);
+    Packet.Opens = true;
+    Packet.Sequence = 1000U + Port;
+    Packet.Acknowledged = Copies;
+    return Forwarder.decide(Packet, Now);
+  }
+
+  /// The caller sends \p Size bytes of data on an open flow, after it has received \p Received.
+  forward_decision send(std::uint16_t Port, flow_token Token, std::uint32_t Received,
+                        std::uint32_t Sent = 0, std::uint16_t Size = 100) {
+    caller_packet Packet;
+    Packet.Flow = flowFrom(Port);
+    Packet.Sequence = 1001U + Port + Sent;
+    Packet.Acknowledged = Received;
+    Packet.Token = Token;
+    Packet.DataSize = Size;
+    return Forwarder.decide(Packet, Now);
+  }
+
+  /// Opens a flow whose target answers, and returns its target.
+  target *openAnswered(std::uint16_t Port) {
+    const forward_decision Opened = open(Port);
+    Now += milliseconds(4);
+    send(Port, Opened.Target->Token, 500, 0, 0);
+    return Opened.Target;
+  }
+
+  /// Ports of the flows that a sweep resets.
+  std::vector<std::uint16_t> sweep() {
+    std::vector<std::uint16_t> Ports;
+    Forwarder.sweep(Now, [&](const flow_address &Flow, const tracked_flow &) {
+      Ports.push_back(Flow.Caller.Port);
+    });
+    std::sort(Ports.begin(), Ports.end());
+    return Ports;
+  }
+
+  static target_registry_settings makeSettings() {
+    target_registry_settings Result;
+    Result.DataCentre = "a";
+    return Result;
+  }
+
+  instant Now{seconds(100)};
+  std::uint64_t Revision = 0;
+  seeded_random Random{20261204};
+  route_table Routes;
+  target_registry Targets;
+  packet_forwarder Forwarder;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_TESTS_FORWARD_FORWARD_SUPPORT_H
--- /dev/null
+++ b/tests/forward/route_table_test.cpp
@@ -0,0 +1,55 @@
+#include "forward/route_table.h"
+
+#include "base/hash.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace briarpoint {
+namespace {
+
+constexpr ipv4_endpoint Address{1, 80};
+
+routing_configuration version(std::uint64_t Number, std::vector<route_service> Services) {
+  return {Number, {{"r", Address, 0, std::move(Services)}}, std::chrono::seconds(15)};
+}
+
+// Guards against a version that takes hold and is undone by an older one that arrives late.
+TEST(route_table, neverGoesBackToAnOlderVersion) {
+  route_table Routes;
+  EXPECT_TRUE(Routes.apply(version(5, {{"new", 1}})));
+  EXPECT_FALSE(Routes.apply(version(4, {{"old", 1}})));
+  EXPECT_FALSE(Routes.apply(version(5, {{"other", 1}})));
+  EXPECT_EQ(Routes.version(), 5U);
+  EXPECT_EQ(Routes.find(Address)->Route.Services.front().Service, "new");
+}
+
+TEST(route_table, forgetsARouteThatAVersionDrops) {
+  route_table Routes;
+  Routes.apply(version(1, {{"a", 1}}));
+  Routes.apply({2, {}, std::chrono::seconds(15)});
+  EXPECT_EQ(Routes.find(Address), nullptr);
+}
+
+// Guards against shares that don't follow the weights, and against services of weight 0.
+TEST(route_table, choosesServicesByWeight) {
+  route_table Routes;
+  Routes.apply(version(1, {{"a", 90}, {"none", 0}, {"b", 10}}));
+  std::map<std::string, int> Counts;
+  constexpr int Flows = 10'000;
+  for (std::uint64_t I = 0; I < Flows; ++I)
+    ++Counts[*Routes.find(Address)->chooseService(mixHash(7, I))];
+  EXPECT_EQ(Counts.count("none"), 0U);
+  EXPECT_NEAR(Counts["a"], 0.9 * Flows, 0.01 * Flows);
+}
+
+TEST(route_table, choosesNoServiceIfAllWeightsAreZero) {
+  route_table Routes;
+  Routes.apply(version(1, {{"a", 0}}));
+  EXPECT_EQ(Routes.find(Address)->chooseService(~std::uint64_t{0}), nullptr);
+  EXPECT_EQ(Routes.find(Address)->chooseService(0), nullptr);
+}
+
+} // namespace
+} // namespace briarpoint
--- /dev/null
+++ b/tests/forward/target_chooser_test.cpp
@@ -0,0 +1,81 @@
+#include "tests/forward/forward_support.h"
+
+#include <map>
+
+namespace briarpoint {
+namespace {
+
+class choosing : public forwarding {
+protected:
+  target &addIn(const std::string &Name, std::uint64_t Number, const std::string &DataCentre) {
+    target_registration Registration = registration(Name, Number);
+    Registration.DataCentre = DataCentre;
+    Targets.put(Registration, Now);
+    return *Targets.find(Name);
+  }
+  target *choose(const target *Except = nullptr) {
+    return Chooser.choose(Targets.ofService("web"), Except, Now);
+  }
+  target_chooser Chooser{Random};
+};
+
+// Guards against flows across data centres, which a cut would break.
+TEST_F(choosing, prefersTheOwnDataCentre) {
+  addIn("i-far", 1, "b");
+  target &Near = addIn("i-near", 2, "a");
+  Near.OpenFlows = 50;
+  EXPECT_EQ(choose(), &Near);
+}
+
+// Guards against callers that are refused while another data centre could serve them.
+TEST_F(choosing, usesAnotherDataCentreIfTheOwnOneHasNoUsableTarget) {
+  target &Far = addIn("i-far", 1, "b");
+  target_registration Near = registration("i-near", 2);
+  Near.Draining = true;
+  Targets.put(Near, Now);
+  EXPECT_EQ(choose(), &Far);
+}
+
+TEST_F(choosing, usesASuspectedTargetIfThereIsNoOther) {
+  target &Only = add("i-1", 1);
+  Only.Health.repeated(0, Now);
+  Only.Health.repeated(0, Now);
+  EXPECT_EQ(choose(), &Only);
+  target &Far = addIn("i-far", 2, "b");
+  EXPECT_EQ(choose(), &Far);
+}
+
+// Guards against an uneven load: each target gets flows in proportion to its slots.
+TEST_F(choosing, spreadsFlowsByOpenFlowsPerSlot) {
+  for (std::uint64_t Number = 1; Number <= 4; ++Number)
+    add("i-" + std::to_string(Number), Number).Registration.Slots = Number == 4 ? 6 : 2;
+  for (int I = 0; I < 120; ++I)
+    ++choose()->OpenFlows;
+  EXPECT_NEAR(Targets.find("i-1")->OpenFlows, 20, 1);
+  EXPECT_NEAR(Targets.find("i-4")->OpenFlows, 60, 1);
+}
+
+// Guards against a cold target that gets as much as the warm ones.
+TEST_F(choosing, givesAColdTargetLess) {
+  add("i-1", 1);
+  target &Cold = add("i-2", 2);
+  Cold.WarmAt = Now + seconds(2);
+  for (int I = 0; I < 130; ++I)
+    ++choose()->OpenFlows;
+  EXPECT_NEAR(Cold.OpenFlows, 50, 2);
+}
+
+// Guards against balancers that all choose the same target when they start together.
+TEST_F(choosing, breaksTiesAtRandom) {
+  for (std::uint64_t Number = 1; Number <= 4; ++Number)
+    add("i-" + std::to_string(Number), Number);
+  std::map<std::string, int> Counts;
+  for (int I = 0; I < 4000; ++I)
+    ++Counts[choose()->Registration.Name];
+  ASSERT_EQ(Counts.size(), 4U);
+  for (const auto &[Name, Count] : Counts)
+    EXPECT_NEAR(Count, 1000, 120) << Name;
+}
+
+} // namespace
+} // namespace briarpoint
--- /dev/null
+++ b/tests/platform_adapter/store_object_format_test.cpp
@@ -0,0 +1,172 @@
+#include "platform/store_object_format.h"
+
+#include "base/findings_error.h"
+#include "config/json_reader.h"
+#include "platform/http_object_api.h"
+
+#include <gtest/gtest.h>
+
+namespace briarpoint::platform {
+namespace {
+
+stored_object object(const std::string &Name, const std::string &Json) {
+  return {Name, 3, 9, readJson(Json, "test")};
+}
+
+/// Findings about an object, or nothing if it was read.
+template <typename T> std::vector<std::string> findingsOf(T &&Parse) {
+  std::vector<std::string> Result;
+  try {
+    Parse();
+  } catch (const findings_error &Error) {
+    for (const finding &Finding : Error.findings())
+      Result.push_back(toString(Finding));
+  }
+  return Result;
+}
+
+class stored_registrations : public testing::Test {
+protected:
+  store_object_format Format;
+};
+
+// Guards against a change of the platform's format: the entry is that of its page.
+TEST_F(stored_registrations, areReadAsThePageShowsThem) {
+  const target_registration Registration = Format.parseRegistration(
+      object("i-7f3a91c2",
+             R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"regina","version":"v1",
+          "max_concurrency":2,"state":"draining","warmup_left_ms":700,"sequence":4,"born":12,"x":{}})"));
+  EXPECT_EQ(Registration.Name, "i-7f3a91c2");
+  EXPECT_EQ(Registration.Number, 0x7f3a91c2U);
+  EXPECT_EQ(Registration.Service, "huvo11a");
+  EXPECT_EQ(toString(Registration.Address), "10.128.0.9:8080");
+  EXPECT_EQ(Registration.DataCentre, "regina");
+  EXPECT_EQ(Registration.Slots, 2U);
+  EXPECT_TRUE(Registration.Draining);
+  EXPECT_EQ(Registration.WarmUpMs, 700U);
+  EXPECT_EQ(Registration.StartedMs, 12U);
+  EXPECT_EQ(Registration.Created, 3U);
+  EXPECT_EQ(Registration.Revision, 9U);
+}
+
+// Guards against entries of other writers that name a host to use, and against one that hides the
+// others: each is refused by itself, with everything that is wrong.
+TEST_F(stored_registrations, areRefusedIfAnythingNeededIsMissingOrOfAnotherType) {
+  const std::string Good =
+      R"("service":"s","address":"10.0.0.1:80","zone":"z","max_concurrency":2,"state":"ready")";
+  EXPECT_TRUE(
+      findingsOf([&] { Format.parseRegistration(object("i-1", "{" + Good + "}")); }).empty());
+  struct refusal {
+    const char *Id;
+    std::string Json;
+    std::size_t Findings;
+  };
+  const std::vector<refusal> Refusals{
+      {"no-hexadecimal-digits!", "{" + Good + "}", 1},
+      {"i-112233445566778899", "{" + Good + "}", 1},
+      {"i-1", "{}", 5},
+      {"i-1", "[1]", 1},
+      {"i-1", "null", 1},
+      {"i-1", "\"text\"", 1},
+      {"i-1",
+       R"({"service":"s","address":"10.0.0.1","zone":"z","max_concurrency":2,"state":"ready"})", 1},
+      {"i-1",
+       R"({"service":"s","address":"[::1]:80","zone":"z","max_concurrency":2,"state":"ready"})", 1},
+      {"i-1",
+       R"({"service":7,"address":"10.0.0.1:80","zone":"z","max_concurrency":0,"state":"up"})", 3},
+      {"i-1",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"z","max_concurrency":2.5,"state":"ready"})",
+       1},
+      {"i-1", "{" + Good + R"(,"warmup_left_ms":-1})", 1},
+      {"i-1", "{" + Good + R"(,"born":1.5})", 1},
+  };
+  for (const refusal &Refusal : Refusals) {
+    SCOPED_TRACE(Refusal.Json);
+    EXPECT_GE(
+        findingsOf([&] { Format.parseRegistration(object(Refusal.Id, Refusal.Json)); }).size(),
+        Refusal.Findings);
+  }
+}
+
+class stored_configurations : public testing::Test {
+protected:
+  store_object_format Format;
+};
+
+TEST_F(stored_configurations, areReadAsThePageShowsThem) {
+  const routing_configuration Configuration = Format.parseConfiguration(object("main", R"({
+      "version":7,
+      "routes":[
+        {"name":"r-1","hostname":"198.18.0.1","path_prefix":"/8443/","type":"safe","priority":2,
+         "backends":[{"service":"a","weight":90},{"service":"b","weight":10}],"max_attempts":2},
+        {"name":"r-2","hostname":"198.18.0.2","path_prefix":"/80/","type":"download","service":"b"}],
+      "services":[],"limits":{"idle_timeout_ms":12000}})"));
+  EXPECT_EQ(Configuration.Version, 7U);
+  EXPECT_EQ(Configuration.IdleTime, std::chrono::seconds(12));
+  ASSERT_EQ(Configuration.Routes.size(), 2U);
+  EXPECT_EQ(toString(Configuration.Routes[0].Address), "198.18.0.1:8443");
+  EXPECT_EQ(Configuration.Routes[0].Services, (std::vector<route_service>{{"a", 90}, {"b", 10}}));
+  EXPECT_EQ(Configuration.Routes[1].Services, (std::vector<route_service>{{"b", 1}}));
+}
+
+// Guards against a part of a configuration in force: it is taken whole or not at all, and all
+// findings are reported together.
+TEST_F(stored_configurations, areRefusedWithAllFindings) {
+  EXPECT_EQ(findingsOf([&] {
+              Format.parseConfiguration(object("main", R"({"version":0,"routes":[
+                {"name":"r","hostname":"x","path_prefix":"/80/"},
+                {"name":"r","hostname":"1.2.3.4","path_prefix":"80"},
+                {"name":"r","hostname":"1.2.3.4","path_prefix":"//"}]})"));
+            }).size(),
+            4U);
+}
+
+class store_answers : public testing::Test {};
+
+// Guards against an answer that can't be read and is taken for an empty list.
+TEST_F(store_answers, thatCannotBeReadAreMalformed) {
+  for (const char *Body :
+       {"", "{", "[]", "{}", R"({"items":[{}],"has_more":false,"current_rev":1})",
+        R"({"items":[],"has_more":false})", R"({"items":[],"has_more":1,"current_rev":1})"}) {
+    SCOPED_TRACE(Body);
+    EXPECT_EQ(parseListAnswer(http_response{200, {}, Body}).Outcome, call_outcome::Malformed);
+  }
+  for (const char *Body :
+       {"", R"({"events":[]})", R"({"events":[{"deleted":true}],"current_rev":1})"}) {
+    SCOPED_TRACE(Body);
+    EXPECT_EQ(parseWatchAnswer(http_response{200, {}, Body}).Outcome, call_outcome::Malformed);
+  }
+}
+
+TEST_F(store_answers, tellRefusalsFromSilence) {
+  EXPECT_EQ(parseListAnswer(std::nullopt).Outcome, call_outcome::Unanswered);
+  EXPECT_EQ(parseListAnswer(http_response{503, {}, ""}).Outcome, call_outcome::Refused);
+  EXPECT_EQ(parseListAnswer(http_response{429, {}, ""}).Outcome, call_outcome::Refused);
+  EXPECT_EQ(parseWatchAnswer(http_response{410, {}, ""}).Outcome, call_outcome::HistoryGone);
+  EXPECT_EQ(parseWatchAnswer(http_response{404, {}, ""}).Outcome, call_outcome::Malformed);
+}
+
+// Guards against one bad entry that hides the others: its content is judged by the entry's reader.
+TEST_F(store_answers, keepEntriesWhoseContentIsWrong) {
+  const list_answer Answer = parseListAnswer(http_response{200, {}, R"({"items":[
+      {"meta":{"name":"i-1","revision":4,"created":2},"spec":"garbage"},
+      {"meta":{"name":"i-2","revision":5,"created":3},"spec":{"a":1,"a":2}},
+      {"meta":{"name":"i-3","revision":6,"created":3}}],"has_more":true,"current_rev":8})"});
+  ASSERT_EQ(Answer.Outcome, call_outcome::Done);
+  EXPECT_EQ(Answer.Objects.size(), 3U);
+  EXPECT_TRUE(Answer.More);
+  EXPECT_EQ(Answer.Revision, 8U);
+}
+
+TEST_F(store_answers, reportChangesInOrder) {
+  const watch_answer Answer = parseWatchAnswer(http_response{200, {}, R"({"events":[
+      {"deleted":false,"object":{"meta":{"name":"i-1","revision":4,"created":2},"spec":{}}},
+      {"deleted":true,"object":{"meta":{"name":"i-1","revision":5,"created":2}}}],"current_rev":7})"});
+  ASSERT_EQ(Answer.Changes.size(), 2U);
+  EXPECT_FALSE(Answer.Changes[0].Deleted);
+  EXPECT_TRUE(Answer.Changes[1].Deleted);
+  EXPECT_EQ(Answer.Revision, 7U);
+}
+
+} // namespace
+} // namespace briarpoint::platform
--- /dev/null
+++ b/tests/store/object_watcher_test.cpp
@@ -0,0 +1,205 @@
+#include "store/object_watcher.h"
+
+#include "base/seeded_random.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace briarpoint {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A call that the watcher made and that wasn't answered yet.
+struct pending_call {
+  /// Empty for a watch.
+  std::function<void(list_answer)> List;
+  std::function<void(watch_answer)> Watch;
+  std::string After;
+  freshness Freshness = freshness::Linearizable;
+  std::uint64_t Revision = 0;
+  duration Wait{};
+};
+
+class fake_api final : public object_api {
+public:
+  void list(const std::string &, const std::string &After, freshness Freshness,
+            std::function<void(list_answer)> Done) override {
+    Calls.push_back({std::move(Done), nullptr, After, Freshness, 0, {}});
+  }
+  void watch(const std::string &, std::uint64_t Revision, duration Wait,
+             std::function<void(watch_answer)> Done) override {
+    Calls.push_back({nullptr, std::move(Done), "", freshness::Linearizable, Revision, Wait});
+  }
+  pending_call take() {
+    pending_call Result = std::move(Calls.front());
+    Calls.pop_front();
+    return Result;
+  }
+  std::deque<pending_call> Calls;
+};
+
+class fake_scheduler final : public scheduler {
+public:
+  instant now() override { return Now; }
+  void runAt(instant Time, std::function<void()> NewAction) override {
+    DueAt = Time;
+    Action = std::move(NewAction);
+  }
+  /// Lets the time pass until the action is due, and runs it. Returns how long that took.
+  duration runNext() {
+    const instant Before = Now;
+    Now = std::max(Now, DueAt);
+    std::exchange(Action, nullptr)();
+    return Now - Before;
+  }
+  instant Now{seconds(5)};
+  instant DueAt{};
+  std::function<void()> Action;
+};
+
+class recorder final : public object_listener {
+public:
+  void onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) override {
+    Events.push_back("list " + std::to_string(Objects.size()) + " at " + std::to_string(Revision));
+  }
+  void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) override {
+    Events.push_back("changes " + std::to_string(Changes.size()) + " at " +
+                     std::to_string(Revision));
+  }
+  void onContact(bool InContact, call_outcome) override {
+    Events.push_back(InContact ? "regained" : "lost");
+  }
+  std::vector<std::string> Events;
+};
+
+stored_object object(const std::string &Name) { return {Name, 1, 1, {}}; }
+
+class watching_objects : public testing::Test {
+protected:
+  watching_objects() { Watcher.start(); }
+
+  void answerList(std::vector<stored_object> Objects, std::uint64_t Revision, bool More = false) {
+    Api.take().List({call_outcome::Done, std::move(Objects), More, Revision});
+  }
+  void answerWatch(std::size_t Changes, std::uint64_t Revision) {
+    Api.take().Watch({call_outcome::Done, std::vector<object_change>(Changes), Revision});
+  }
+  void failWatch(call_outcome Outcome) { Api.take().Watch({Outcome, {}, 0}); }
+
+  fake_api Api;
+  fake_scheduler Scheduler;
+  recorder Listener;
+  seeded_random Random{20261204};
+  object_watcher Watcher{"things", {}, Api, Listener, Scheduler, Random};
+};
+
+// Guards against changes between the pages of a list that no watch reports.
+TEST_F(watching_objects, readsAllPagesAndWatchesFromTheFirstOne) {
+  EXPECT_EQ(Api.Calls.front().Freshness, freshness::Stale);
+  answerList({object("a"), object("b")}, 10, true);
+  EXPECT_EQ(Api.Calls.front().After, "b");
+  EXPECT_TRUE(Listener.Events.empty());
+  answerList({object("c")}, 14);
+  Scheduler.runNext();
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_EQ(Listener.Events, std::vector<std::string>{"list 3 at 10"});
+}
+
+// Guards against a page that fails in the middle: its list must not be taken for a whole one.
+TEST_F(watching_objects, startsAListAgainAfterAPageFailed) {
+  answerList({object("a")}, 10, true);
+  Api.take().List({});
+  Scheduler.runNext();
+  EXPECT_EQ(Api.Calls.front().After, "");
+  answerList({object("b")}, 11);
+  EXPECT_EQ(Listener.Events, (std::vector<std::string>{"lost", "regained", "list 1 at 11"}));
+}
+
+class watching_listed_objects : public watching_objects {
+protected:
+  watching_listed_objects() {
+    answerList({object("a")}, 10);
+    Scheduler.runNext();
+    Listener.Events.clear();
+  }
+};
+
+// Guards against one priced call for each of many changes that come together.
+TEST_F(watching_listed_objects, gathersChangesBeforeTheNextWatch) {
+  answerWatch(2, 12);
+  EXPECT_EQ(Listener.Events, std::vector<std::string>{"changes 2 at 12"});
+  EXPECT_TRUE(Api.Calls.empty());
+  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().Gather);
+  EXPECT_EQ(Api.Calls.front().Revision, 12U);
+}
+
+TEST_F(watching_listed_objects, watchesAgainAtOnceIfNothingChanged) {
+  answerWatch(0, 17);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  EXPECT_EQ(Api.Calls.front().Revision, 17U);
+  EXPECT_TRUE(Listener.Events.empty());
+}
+
+// Guards against a list that is older than what was reported: after a compaction stale reads are
+// seconds behind, and a version in force must not be undone.
+TEST_F(watching_listed_objects, listsAnewWithoutGoingBackWhenTheHistoryIsGone) {
+  answerWatch(1, 20);
+  Scheduler.runNext();
+  failWatch(call_outcome::HistoryGone);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  EXPECT_EQ(Api.Calls.front().Freshness, freshness::Linearizable);
+  answerList({object("old")}, 15);
+  Scheduler.runNext();
+  EXPECT_EQ(Listener.Events, std::vector<std::string>{"changes 1 at 20"});
+  answerList({object("new")}, 25);
+  EXPECT_EQ(Listener.Events.back(), "list 1 at 25");
+}
+
+struct failure_case {
+  const char *Name;
+  call_outcome Outcome;
+};
+
+// Guards against a store that is called without pause while it is away, and against a watch that
+// waits long on a connection that may not work: the first one after a failure is short.
+TEST_F(watching_listed_objects, backsOffAndProbesAfterEachKindOfFailure) {
+  for (const failure_case &Case : {failure_case{"refused", call_outcome::Refused},
+                                   failure_case{"unanswered", call_outcome::Unanswered},
+                                   failure_case{"malformed", call_outcome::Malformed}}) {
+    SCOPED_TRACE(Case.Name);
+    Listener.Events.clear();
+    duration Total{};
+    for (int I = 0; I < 40; ++I) {
+      EXPECT_GT(Api.Calls.front().Wait, duration::zero());
+      failWatch(Case.Outcome);
+      Total += Scheduler.runNext();
+      EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
+    }
+    // Uniform delays of up to 1 s: 20 s are expected.
+    EXPECT_GT(Total, seconds(10));
+    EXPECT_LT(Total, seconds(30));
+    EXPECT_EQ(Listener.Events, std::vector<std::string>{"lost"});
+    answerWatch(0, 10);
+    Scheduler.runNext();
+    EXPECT_EQ(Listener.Events.back(), "regained");
+    EXPECT_GT(Api.Calls.front().Wait, seconds(13));
+  }
+}
+
+// Guards against calls that cost and that nobody sees.
+TEST_F(watching_listed_objects, countsCallsByKindAndOutcome) {
+  answerWatch(0, 10);
+  Scheduler.runNext();
+  failWatch(call_outcome::Refused);
+  const watch_counters &Counters = Watcher.counters();
+  EXPECT_EQ(Counters.StaleLists, 1U);
+  EXPECT_EQ(Counters.Watches, 2U);
+  EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Done)], 2U);
+  EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Refused)], 1U);
+}
+
+} // namespace
+} // namespace briarpoint
