--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -1,5 +1,7 @@
 #include "forward/packet_forwarder.h"
 
+#include <utility>
+
 namespace briarpoint {
 
 namespace {
@@ -38,12 +40,22 @@
   return Service == nullptr ? nullptr : Chooser.choose(Targets.ofService(*Service), Except, Now);
 }
 
+/// Returns the target that probably refused the caller a moment ago: a refused caller opens another
+/// flow at once, while the handshake of the first one is still incomplete here.
+const target *packet_forwarder::refusedBy(const caller_packet &Packet) {
+  const auto [Entry, New] = RecentOpens.try_emplace(Packet.Flow.Caller.Address, Packet.Flow);
+  if (New)
+    return nullptr;
+  const tracked_flow *Earlier = Flows.find(std::exchange(Entry->second, Packet.Flow));
+  return Earlier != nullptr && Earlier->Opening ? Earlier->Target : nullptr;
+}
+
 forward_decision packet_forwarder::open(const caller_packet &Packet, const active_route &Route,
                                         instant Now) {
   tracked_flow *Flow = Flows.find(Packet.Flow);
   const bool Repeat = Flow != nullptr && Flow->Opening && Flow->Sequence == Packet.Sequence;
   if (!Repeat) {
-    target *Chosen = place(Packet, Route, nullptr, Now);
+    target *Chosen = place(Packet, Route, refusedBy(Packet), Now);
     if (Chosen == nullptr)
       return {forward_action::Reset, forward_reason::NoTarget};
     Flows.erase(Packet.Flow);
@@ -120,6 +132,7 @@
     return true;
   });
   Targets.expire(Now);
+  RecentOpens.clear();
 }
 
 } // namespace briarpoint
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -9,6 +9,7 @@
 #include "forward/target_registry.h"
 
 #include <functional>
+#include <unordered_map>
 
 namespace briarpoint {
 
@@ -35,8 +36,8 @@
   using reset_function = std::function<void(const flow_address &, const tracked_flow &)>;
   void sweep(instant Now, const reset_function &Reset);
 
-  /// There is a configuration, and a complete list of targets was read.
-  bool ready() const { return Routes.version() != 0 && TargetsKnown; }
+  /// There is a configuration, a complete list of targets was read, and it named some.
+  bool ready() const { return Routes.version() != 0 && TargetsKnown && Targets.size() > 0; }
   void setTargetsKnown() { TargetsKnown = true; }
 
   std::size_t trackedFlows() const { return Flows.size(); }
@@ -47,12 +48,15 @@
   forward_decision unknownToken(const caller_packet &Packet, instant Now);
   target *place(const caller_packet &Packet, const active_route &Route, const target *Except,
                 instant Now);
+  const target *refusedBy(const caller_packet &Packet);
 
   packet_forwarder_settings Settings;
   route_table &Routes;
   target_registry &Targets;
   target_chooser Chooser;
   flow_tracker Flows;
+  /// The last flow that each caller's address opened since the last sweep.
+  std::unordered_map<std::uint32_t, flow_address> RecentOpens;
   bool TargetsKnown = false;
 };
 
--- a/src/forward/target.h
+++ b/src/forward/target.h
@@ -21,6 +21,9 @@
   instant RemovedAt = Never;
   /// From when a target whose entry disappeared is taken as gone rather than as lapsed.
   instant GoneAt = Never;
+  /// The entry disappeared together with most others, as it happens when the store returns; so the
+  /// target is probably there.
+  bool Lapsed = false;
   instant WarmAt{};
   /// Open flows that this balancer forwards.
   std::uint32_t OpenFlows = 0;
--- a/src/forward/target_chooser.cpp
+++ b/src/forward/target_chooser.cpp
@@ -7,9 +7,10 @@
 /// Order of preference before load counts; lower is better.
 int rank(const target &Target, const target *Except, instant Now) {
   int Rank = Target.Local ? 0 : 1;
-  if (Target.Health.suspected(Now) || Target.Health.doubted(Now) || Target.removed())
-    Rank += 2;
   if (&Target == Except)
+    Rank += 2;
+  if (Target.Health.suspected(Now) || Target.Health.doubted(Now) ||
+      (Target.removed() && !Target.Lapsed))
     Rank += 4;
   return Rank;
 }
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -19,6 +19,7 @@
   Entry->Local = Registration.DataCentre == Settings.DataCentre;
   Entry->RemovedAt = Never;
   Entry->GoneAt = Never;
+  Entry->Lapsed = false;
   Entry->WarmAt = Now + std::chrono::milliseconds(Registration.WarmUpMs);
   // What callers said about the earlier process says nothing about the new one.
   if (Restarted)
@@ -43,11 +44,16 @@
     put(Registration, Now);
     Listed.insert(Registration.Name);
   }
-  for (const auto &[Name, Entry] : Targets) {
-    if (Listed.contains(Name) || Entry->removed() || Revision < Entry->Registration.Revision)
-      continue;
+  std::vector<target *> Missing;
+  for (const auto &[Name, Entry] : Targets)
+    if (!Listed.contains(Name) && !Entry->removed() && Revision >= Entry->Registration.Revision)
+      Missing.push_back(Entry.get());
+  // Targets don't end all at once: when most are missing, their entries lapsed.
+  const bool MassLapse = Missing.size() > Registrations.size();
+  for (target *Entry : Missing) {
     Entry->RemovedAt = Now;
     Entry->GoneAt = Now + Settings.LapseTime;
+    Entry->Lapsed = MassLapse;
   }
 }
 
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -120,6 +120,10 @@
                        [this](const std::string &Path) { return answerOperator(Path); }) {}
 
   bool stopping() const { return StopBegan != Never; }
+  /// Routers should use this balancer.
+  bool ready() const {
+    return Packets.ready() && !stopping() && Clock.now() >= Registrations.completeAt();
+  }
   forwarder_status status();
   http_response answerReadiness(const std::string &Path) const;
   http_response answerOperator(const std::string &Path);
@@ -138,7 +142,7 @@
           RegistrationWatcher,
           ConfigurationWatcher,
           Packets.trackedFlows(),
-          Packets.ready() && !stopping(),
+          ready(),
           Log.suppressed(),
           LinesNotWritten,
           Clock.now()};
@@ -147,7 +151,7 @@
 http_response forwarder::parts::answerReadiness(const std::string &Path) const {
   if (Path != Platform.ReadinessPath)
     return textResponse(404, "");
-  return textResponse(Packets.ready() && !stopping() ? 200 : 503, "");
+  return textResponse(ready() ? 200 : 503, "");
 }
 
 http_response forwarder::parts::answerOperator(const std::string &Path) {
--- a/src/forwarder/registration_feed.cpp
+++ b/src/forwarder/registration_feed.cpp
@@ -38,7 +38,10 @@
   for (const stored_object &Object : Objects)
     if (std::optional<target_registration> Registration = parse(Object))
       Registrations.push_back(std::move(*Registration));
-  Targets.replaceAll(Registrations, Revision, Clock.now());
+  const instant Now = Clock.now();
+  Targets.replaceAll(Registrations, Revision, Now);
+  if (CompleteAt == Never)
+    CompleteAt = LostContact ? Now + target_registry_settings().LapseTime : Now;
   Forwarder.setTargetsKnown();
   Log.write(log_event::RegistrationChanged, {{"target", "*"},
                                              {"targets", std::to_string(Registrations.size())},
@@ -66,6 +69,7 @@
 }
 
 void registration_feed::onContact(bool InContact, call_outcome Outcome) {
+  LostContact = LostContact || !InContact;
   logContact(Log, Format.registrationKind(), InContact, Outcome);
 }
 
--- a/src/forwarder/registration_feed.h
+++ b/src/forwarder/registration_feed.h
@@ -26,6 +26,10 @@
   void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) override;
   void onContact(bool InContact, call_outcome Outcome) override;
 
+  /// From when the first list is taken as complete. Entries lapse while the store is away, so a
+  /// list that was read just after its return may miss most targets. Never before the first list.
+  instant completeAt() const { return CompleteAt; }
+
 private:
   std::optional<target_registration> parse(const stored_object &Object);
   void logChange(const target_registration &Registration);
@@ -37,6 +41,8 @@
   event_log &Log;
   forwarder_counters &Counters;
   std::function<void()> OnList;
+  bool LostContact = false;
+  instant CompleteAt = Never;
 };
 
 /// Logs that contact with the store was lost or regained by the watch of a kind.
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -17,7 +17,7 @@
 struct object_watcher_settings {
   /// Time that a watch waits at the store for a change; up to a tenth is taken off at random, so
   /// that balancers don't call at the same time. Each watch is one priced call.
-  duration Wait = std::chrono::seconds(15);
+  duration Wait = std::chrono::seconds(25);
   /// Wait of the first watch after a failure: short, because only its answer proves that the
   /// connection works again.
   duration ProbeWait = std::chrono::milliseconds(300);
--- a/tests/forward/target_registry_test.cpp
+++ b/tests/forward/target_registry_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/forward/forward_support.h"
 
+#include <set>
+
 namespace briarpoint {
 namespace {
 
@@ -29,6 +31,29 @@
   EXPECT_TRUE(Target.accepts(Now + seconds(100)));
 }
 
+// Guards against the few targets that are back first after an outage of the store and get all new
+// flows (incident of Riga): most entries are missing in the first list.
+TEST_F(target_registration_state, usesLapsedTargetsLikeOthersIfMostAreMissing) {
+  for (std::uint64_t Number = 1; Number <= 5; ++Number)
+    add("i-" + std::to_string(Number), Number);
+  const target_registration First = registration("i-1", 1);
+  Targets.replaceAll({&First, 1}, ++Revision, Now);
+  std::set<std::string> Used;
+  for (std::uint16_t Port = 1; Port <= 50; ++Port)
+    Used.insert(open(Port).Target->Registration.Name);
+  EXPECT_EQ(Used.size(), 5U);
+}
+
+// Guards against new flows on the one target that ended in a gap of the history.
+TEST_F(target_registration_state, avoidsATargetThatIsMissingAlone) {
+  for (std::uint64_t Number = 1; Number <= 3; ++Number)
+    add("i-" + std::to_string(Number), Number);
+  const target_registration Listed[] = {registration("i-1", 1), registration("i-2", 2)};
+  Targets.replaceAll(Listed, ++Revision, Now);
+  for (std::uint16_t Port = 1; Port <= 50; ++Port)
+    EXPECT_NE(open(Port).Target->Registration.Name, "i-3");
+}
+
 // Guards against new flows on a target that has announced its end.
 TEST_F(target_registration_state, takesADrainingTargetAsGoneWhenItsEntryIs) {
   target_registration Draining = registration("i-1", 1);
--- /dev/null
+++ b/tests/forwarder/operations_page_test.cpp
@@ -0,0 +1,99 @@
+#include "base/seeded_random.h"
+#include "forward/forward_decision.h"
+#include "forwarder/forwarder_status.h"
+#include "io/read_file.h"
+#include "store/object_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include <regex>
+#include <set>
+
+namespace briarpoint {
+namespace {
+
+class idle_api final : public object_api {
+public:
+  void list(const std::string &, const std::string &, freshness,
+            std::function<void(list_answer)>) override {}
+  void watch(const std::string &, std::uint64_t, duration,
+             std::function<void(watch_answer)>) override {}
+};
+
+class idle_listener final : public object_listener {
+public:
+  void onList(const std::vector<stored_object> &, std::uint64_t) override {}
+  void onChanges(const std::vector<object_change> &, std::uint64_t) override {}
+  void onContact(bool, call_outcome) override {}
+};
+
+class idle_scheduler final : public scheduler {
+public:
+  instant now() override { return {}; }
+  void runAt(instant, std::function<void()>) override {}
+};
+
+/// A forwarder's status with something in every field that the outside sees.
+class operations_page : public testing::Test {
+protected:
+  operations_page() {
+    Counters.Decisions[0][0] = 7;
+    Routes.apply({5, {}, std::chrono::seconds(15)});
+    target_registration Registration;
+    Registration.Name = "i-1";
+    Registration.Service = "web";
+    Targets.put(Registration, instant{});
+    Latency.onOpened(std::chrono::milliseconds(3));
+  }
+  forwarder_status status() {
+    return {Settings, Counters, Latency, Routes, Targets, Watcher, Watcher, 3, true, 0, 0, {}};
+  }
+  std::string page() {
+    return readFile(std::string(BRIARPOINT_SOURCE_DIR) + "/docs/OPERATIONS.md");
+  }
+
+  forwarder_settings Settings;
+  forwarder_counters Counters;
+  flow_latency Latency;
+  route_table Routes;
+  target_registry Targets{target_registry_settings()};
+  idle_api Api;
+  idle_listener Listener;
+  idle_scheduler Scheduler;
+  seeded_random Random{1};
+  object_watcher Watcher{"k", {}, Api, Listener, Scheduler, Random};
+};
+
+// Guards against metrics that the page doesn't explain, and page entries without a metric.
+TEST_F(operations_page, listsEveryMetric) {
+  const auto NamesIn = [](const std::string &Text, const std::string &Pattern) {
+    std::set<std::string> Names;
+    const std::regex Expression(Pattern);
+    for (std::sregex_iterator It(Text.begin(), Text.end(), Expression), End; It != End; ++It)
+      Names.insert((*It)[1]);
+    return Names;
+  };
+  EXPECT_EQ(NamesIn(metricsText(status()), "# TYPE ([a-z_]+) "),
+            NamesIn(page(), "\\| `(briarpoint_forwarder_[a-z_]+)` \\|"));
+}
+
+// Guards against reasons in the log that the page doesn't explain.
+TEST_F(operations_page, explainsEveryReasonOfAFailure) {
+  for (auto Reason = static_cast<std::size_t>(forward_reason::NotReady);
+       Reason < ForwardReasonCount; ++Reason)
+    EXPECT_NE(
+        page().find("| `" + std::string(toString(static_cast<forward_reason>(Reason))) + "` |"),
+        std::string::npos)
+        << Reason;
+}
+
+// Guards against a state dump that leaves out what decides where packets go.
+TEST_F(operations_page, dumpsTheState) {
+  const std::string State = stateText(status());
+  for (const char *Part : {"\"version\": 5", "\"ready\": true", "\"name\": \"i-1\"",
+                           "\"token\":", "\"suspected\": false", "\"flows\": 3"})
+    EXPECT_NE(State.find(Part), std::string::npos) << Part;
+}
+
+} // namespace
+} // namespace briarpoint
