Add a fault soak, and don't reset flows of targets that aren't known yet

Ruled out: keep-alive probes (a proxy that goes silent acknowledges them). Change: an unknown token makes the forwarder ask the store at once on a new connection, every 2 s at most; a flow with an unknown token is reset only if the store has answered since. The soak runs forwarder processes against a store, hosts and callers in the platform's formats, with signals and a proxy. Conclusion: knowledge may be stuck without an error.

--- /dev/null
+++ b/soak/datagram_socket.h
@@ -0,0 +1,39 @@
+#ifndef BRIARPOINT_SOAK_DATAGRAM_SOCKET_H
+#define BRIARPOINT_SOAK_DATAGRAM_SOCKET_H
+
+#include "io/event_loop.h"
+#include "io/file_descriptor.h"
+#include "net/ipv4_endpoint.h"
+
+#include <event2/event.h>
+
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace briarpoint::soak {
+
+/// A UDP socket on an event loop that can be closed and opened again.
+class datagram_socket {
+public:
+  using handler = std::function<void(std::span<const std::byte>)>;
+
+  datagram_socket(event_loop &Loop, const ipv4_endpoint &Local, handler Handler);
+
+  void send(const ipv4_endpoint &To, std::span<const std::byte> Datagram) const;
+
+private:
+  static void onReadable(int, short, void *Argument);
+
+  struct event_deleter {
+    void operator()(event *Event) const { event_free(Event); }
+  };
+
+  file_descriptor Socket;
+  handler Handler;
+  std::unique_ptr<event, event_deleter> Readable;
+};
+
+} // namespace briarpoint::soak
+
+#endif // BRIARPOINT_SOAK_DATAGRAM_SOCKET_H
--- /dev/null
+++ b/soak/host.cpp
@@ -0,0 +1,82 @@
+#include "soak/host.h"
+
+#include "net/byte_order.h"
+#include "platform/packet_layout.h"
+
+#include <algorithm>
+
+namespace briarpoint::soak {
+
+using namespace platform;
+
+host::host(host_environment &Environment, std::string Name, std::uint64_t Number,
+           std::string Service, const ipv4_endpoint &Address)
+    : Environment(Environment), Name(std::move(Name)), Number(Number), Service(std::move(Service)),
+      Address(Address), Socket(Environment.Loop, Address,
+                               [this](std::span<const std::byte> Datagram) { receive(Datagram); }) {
+}
+
+void host::answer(const flow_packet &Packet, flow &Flow, unsigned char Flags,
+                  const std::string &Data) {
+  const flow_packet Answer{Flags,         Flow.Sent, Flow.Next, Packet.Echo, Packet.Destination,
+                           Packet.Source, Data,      true};
+  Flow.Sent += static_cast<std::uint32_t>(Data.size());
+  Socket.send({Packet.Source.Address, Environment.CallerPort}, encode(Answer));
+}
+
+void host::receive(std::span<const std::byte> Datagram) {
+  if (Datagram.size() < HostPrefix || loadU64(Datagram.data()) != Number)
+    return;
+  const std::optional<flow_packet> Packet = decode(Datagram.subspan(HostPrefix));
+  if (!Packet || !Packet->Intact) {
+    Environment.Violations.add("packets arrive as they were sent", Name);
+    return;
+  }
+  const flow_address Address{Packet->Source, Packet->Destination};
+  const auto Route = Environment.Routes.find(Packet->Destination);
+  if (Route == Environment.Routes.end() || Route->second != Service) {
+    Environment.Violations.add("packets reach their own service only",
+                               toString(Packet->Destination) + " at " + Service);
+    return;
+  }
+  if ((Packet->Flags & Synchronize) != 0) {
+    const auto [Entry, New] = Flows.try_emplace(Address);
+    flow &Flow = Entry->second;
+    // A copy of the packet that opened the flow must not start it anew.
+    if (New || Flow.Initial != Packet->Sequence) {
+      Flow = {Packet->Sequence, Packet->Sequence + 1, 0};
+      ++Accepted;
+    }
+    flow Opening{Flow.Initial, Flow.Initial + 1, 0};
+    answer(*Packet, Opening, Synchronize | Acknowledge, "");
+    Flow.Sent = std::max(Flow.Sent, 1U);
+    return;
+  }
+  const auto Found = Flows.find(Address);
+  if (Found == Flows.end()) {
+    // As the platform's hosts do: the flow isn't here.
+    flow Unknown{0, 0, Packet->Acknowledged};
+    answer(*Packet, Unknown, Reset | Acknowledge, "");
+    return;
+  }
+  if ((Packet->Flags & Finish) != 0) {
+    Flows.erase(Found);
+    return;
+  }
+  flow &Flow = Found->second;
+  if (Packet->Data.empty())
+    return;
+  if (Packet->Sequence == Flow.Next) {
+    Flow.Next += static_cast<std::uint32_t>(Packet->Data.size());
+    if (Packet->Data.starts_with("unsafe") && !Environment.Ran.insert(Packet->Data).second)
+      Environment.Violations.add("a non-idempotent request runs once at most", Packet->Data);
+    answer(*Packet, Flow, Acknowledge, "done " + Packet->Data);
+  } else {
+    // A repeat of a request that was answered: the answer is sent again.
+    const std::string Again = "done " + Packet->Data;
+    Flow.Sent -= static_cast<std::uint32_t>(Again.size());
+    answer(*Packet, Flow, Acknowledge, Again);
+  }
+}
+
+} // namespace briarpoint::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,44 @@
+#include "soak/scenario.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstdio>
+
+namespace {
+
+int run(int ArgumentCount, char **Arguments) {
+  cxxopts::Options Options("soak",
+                           "Runs forwarders under random faults and checks what they promise");
+  Options.add_options()("seed", "Seed of the faults",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "Length of the run", cxxopts::value<int>()->default_value("30"))(
+      "program", "The forwarder", cxxopts::value<std::string>())("folder", "For settings and logs",
+                                                                 cxxopts::value<std::string>())(
+      "network", "N of the loopback addresses 127.N.x.y",
+      cxxopts::value<std::uint32_t>()->default_value("77"))("help", "Show this help");
+  const cxxopts::ParseResult Given = Options.parse(ArgumentCount, Arguments);
+  if (Given.count("help") != 0 || Given.count("program") == 0 || Given.count("folder") == 0) {
+    std::puts(Options.help().c_str());
+    return Given.count("help") != 0 ? 0 : 2;
+  }
+  briarpoint::soak::scenario_settings Settings;
+  Settings.Seed = Given["seed"].as<std::uint64_t>();
+  Settings.Length = std::chrono::seconds(Given["seconds"].as<int>());
+  Settings.Program = Given["program"].as<std::string>();
+  Settings.Folder = Given["folder"].as<std::string>();
+  Settings.Network = Given["network"].as<std::uint32_t>();
+  return briarpoint::soak::scenario(Settings).run() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return run(ArgumentCount, Arguments);
+  } catch (const std::exception &Error) {
+    std::fprintf(stderr, "soak: %s\n", Error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/soak/scenario.cpp
@@ -0,0 +1,294 @@
+#include "soak/scenario.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+
+namespace briarpoint::soak {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint16_t PacketPort = 7001;
+constexpr std::uint16_t HostPort = 8080;
+constexpr duration TickInterval = milliseconds(20);
+/// Time at the end without new faults: what was hit comes back, and calls must be served again. The
+/// platform's bound for recovery.
+constexpr duration CalmTime = seconds(12);
+/// Part of the calm time after which calls are counted.
+constexpr duration SettleTime = seconds(6);
+/// Bounds of the promises: a host that has stood still this long ago says nothing about a reset.
+constexpr duration ContactTime = seconds(4);
+/// A stall of this process that makes its hosts look silent; callers repeat after 200 ms.
+constexpr duration StallTime = milliseconds(100);
+constexpr const char *Services[] = {"web", "mail"};
+
+} // namespace
+
+scenario::scenario(const scenario_settings &AllSettings)
+    : Settings(AllSettings), Random(AllSettings.Seed), Hosts{Loop, Violations, PacketPort, {}, {}},
+      Callers{Loop,
+              Random,
+              Violations,
+              Counters,
+              PacketPort,
+              [this](const flow_address &Flow) { return choose(Flow); },
+              [this](const flow_address &Flow) { judgeReset(Flow); }},
+      Store(Loop.base(), toEndpoint(address(9, 0, 8500))) {
+  std::filesystem::create_directories(Settings.Folder);
+  for (std::size_t Service = 0; Service < 2; ++Service)
+    Hosts.Routes[address(8, Service, 443)] = Services[Service];
+  writeRoutes();
+  for (std::size_t I = 0; I < 2 * Settings.HostsPerService; ++I) {
+    Slots.push_back({nullptr, Services[I % 2], address(3, I, HostPort), false, Never});
+    startHost(Slots.back());
+  }
+  for (std::size_t I = 0; I < Settings.Forwarders; ++I) {
+    const std::string Name = "forwarder-" + std::to_string(I);
+    const endpoint Proxy = toEndpoint(address(5, I, 8500));
+    const ipv4_endpoint Packets = address(1, I, PacketPort);
+    const std::string Text =
+        "name = \"" + Name + "\"\ndata_centre = \"soak\"\nstore = \"" + toString(Proxy) +
+        "\"\nshutdown_time = \"4s\"\n[listen]\npackets = \"" + toString(Packets) +
+        "\"\nreadiness = \"" + toString(address(1, I, 7002)) + "\"\noperator = \"" +
+        toString(address(1, I, 7003)) + "\"\n";
+    Nodes.push_back(
+        {std::make_unique<store_proxy>(Loop, Proxy, Store.address()),
+         std::make_unique<forwarder_process>(Settings.Program, Settings.Folder, Name, Text),
+         Packets, Never});
+    Nodes.back().Process->start();
+  }
+  for (std::size_t I = 0; I < Settings.Callers; ++I)
+    Crowd.push_back(
+        std::make_unique<caller>(Callers, address(2, I, 0).Address, address(8, I % 2, 443)));
+}
+
+ipv4_endpoint scenario::address(std::uint32_t Group, std::size_t Index, std::uint16_t Port) const {
+  return {127U << 24U | Settings.Network << 16U | Group << 8U |
+              static_cast<std::uint32_t>(Index + 1),
+          Port};
+}
+
+void scenario::startHost(slot &Slot) {
+  const std::uint64_t Number = NextNumber++ << 32U | (Random.next() & 0xffffffffU);
+  char Name[32];
+  std::snprintf(Name, sizeof(Name), "i-%llx", static_cast<unsigned long long>(Number));
+  Slot.Host.reset();
+  Slot.Host = std::make_unique<host>(Hosts, Name, Number, Slot.Service, Slot.Address);
+  Slot.Draining = false;
+  Slot.EndsAt = Never;
+  registerHost(Slot);
+}
+
+void scenario::registerHost(const slot &Slot) {
+  const nlohmann::json Entry{{"service", Slot.Service},
+                             {"address", toString(Slot.Address)},
+                             {"zone", "soak"},
+                             {"max_concurrency", 2},
+                             {"state", Slot.Draining ? "draining" : "ready"}};
+  Store.writeObject("servers", Slot.Host->name(), Entry.dump());
+}
+
+void scenario::writeRoutes() {
+  nlohmann::json Routes = nlohmann::json::array();
+  for (const auto &[Address, Service] : Hosts.Routes)
+    Routes.push_back({{"name", Service},
+                      {"hostname", toString(toEndpoint(Address).Address)},
+                      {"path_prefix", "/" + std::to_string(Address.Port) + "/"},
+                      {"service", Service}});
+  Store.writeObject("config", "main",
+                    nlohmann::json{{"version", ++Version}, {"routes", Routes}}.dump());
+}
+
+std::optional<ipv4_endpoint> scenario::choose(const flow_address &Flow) {
+  // The node with the highest hash, so that only the flows of a node that leaves move.
+  const node *Best = nullptr;
+  std::uint64_t BestHash = 0;
+  for (const node &Node : Nodes) {
+    if (Node.Process->paused() || !Node.Process->running())
+      continue;
+    const std::uint64_t Hash = mixHash(flow_address_hash()(Flow), Node.Packets.Address);
+    if (Best == nullptr || Hash > BestHash) {
+      Best = &Node;
+      BestHash = Hash;
+    }
+  }
+  return Best == nullptr ? std::nullopt : std::optional(Best->Packets);
+}
+
+void scenario::judgeReset(const flow_address &Flow) {
+  // The host lives and holds the flow, so only its own silence could explain a reset.
+  const bool Held = std::any_of(Slots.begin(), Slots.end(), [&](const slot &Slot) {
+    return Slot.Host != nullptr && Slot.Host->holds(Flow);
+  });
+  if (Held && Clock.now() >= StalledUntil)
+    Violations.add("a flow whose host answers isn't reset", toString(Flow.Caller));
+}
+
+void scenario::faultAtNode(node &Node) {
+  const instant Now = Clock.now();
+  // A node that was hit and isn't restored yet may be hit again.
+  Node.RestoreAt = Now + milliseconds(500 + Random.below(4000));
+  switch (Random.below(7)) {
+  case 0:
+    Node.Process->signal(SIGKILL);
+    break;
+  case 1:
+    Node.Process->signal(SIGTERM);
+    break;
+  case 2:
+    Node.Process->setPaused(true);
+    break;
+  case 3:
+    Node.Process->signal(SIGHUP);
+    break;
+  case 4:
+    Node.Proxy->setFault(proxy_fault::Silent);
+    break;
+  case 5:
+    Node.Proxy->setFault(proxy_fault::AnswersLost);
+    break;
+  default:
+    Node.Proxy->setFault(proxy_fault::Reset);
+  }
+}
+
+void scenario::faultAtHost(slot &Slot) {
+  const instant Now = Clock.now();
+  if (Slot.Host == nullptr || Slot.EndsAt != Never)
+    return;
+  if (Random.below(2) == 0) {
+    // A planned end: the entry says so, the host goes on for a while.
+    Slot.Draining = true;
+    registerHost(Slot);
+    Slot.EndsAt = Now + milliseconds(3000 + Random.below(3000));
+  } else {
+    // A crash: the host falls silent, and its entry is removed later.
+    Slot.EndsAt = Now + milliseconds(1000 + Random.below(3000));
+    const std::string Name = Slot.Host->name();
+    Slot.Host.reset();
+    Store.removeObject("servers", Name);
+    // Another service may take over the address.
+    Slot.Service = Services[Random.below(2)];
+  }
+}
+
+void scenario::faultAtStore() {
+  standins::platform_faults Faults;
+  switch (Random.below(5)) {
+  case 0:
+    Faults.Down = true;
+    break;
+  case 1:
+    Faults.OverRate = true;
+    break;
+  case 2:
+    Faults.Hang = true;
+    break;
+  case 3:
+    Faults.HistoryGone = true;
+    break;
+  default:
+    Faults.DelayMs = 300;
+  }
+  Store.setFaults(Faults);
+  StoreBackAt = Clock.now() + milliseconds(500 + Random.below(4000));
+}
+
+void scenario::injectFault() {
+  switch (Random.below(8)) {
+  case 0:
+    faultAtStore();
+    break;
+  case 1:
+    writeRoutes();
+    break;
+  case 2:
+  case 3:
+    faultAtHost(Slots[Random.below(Slots.size())]);
+    break;
+  default:
+    faultAtNode(Nodes[Random.below(Nodes.size())]);
+  }
+  NextFault = Clock.now() + milliseconds(Random.below(1200));
+}
+
+void scenario::restore() {
+  const instant Now = Clock.now();
+  if (Now >= StoreBackAt) {
+    Store.setFaults({});
+    StoreBackAt = Never;
+  }
+  for (node &Node : Nodes) {
+    if (Now < Node.RestoreAt)
+      continue;
+    Node.RestoreAt = Never;
+    Node.Proxy->setFault(proxy_fault::None);
+    if (Node.Process->paused())
+      Node.Process->setPaused(false);
+  }
+  for (node &Node : Nodes)
+    if (!Node.Process->running() && Node.RestoreAt == Never)
+      Node.Process->start();
+  for (slot &Slot : Slots) {
+    if (Now < Slot.EndsAt)
+      continue;
+    if (Slot.Host != nullptr)
+      Store.removeObject("servers", Slot.Host->name());
+    startHost(Slot);
+  }
+}
+
+void scenario::tick() {
+  const instant Now = Clock.now();
+  if (Now - LastTick > StallTime)
+    StalledUntil = Now + ContactTime;
+  LastTick = Now;
+  restore();
+  const instant CalmAt = Start + Settings.Length - CalmTime;
+  if (Now < CalmAt) {
+    if (Now >= NextFault)
+      injectFault();
+  } else if (SentAtCalm == 0 && Now >= CalmAt + SettleTime) {
+    SentAtCalm = Counters.Sent;
+    ServedAtCalm = Counters.Served;
+  }
+  if (Now >= Start + Settings.Length)
+    Loop.stop();
+}
+
+bool scenario::run() {
+  Start = LastTick = Clock.now();
+  // The processes start before the first fault.
+  NextFault = Start + seconds(2);
+  Loop.onInterval(TickInterval, [this] { tick(); });
+  Loop.run();
+
+  int Crashes = 0;
+  for (node &Node : Nodes)
+    Crashes += Node.Process->crashes();
+  if (Crashes > 0)
+    Violations.add("processes don't end by themselves", std::to_string(Crashes));
+  // Requests that are under way at the end aren't counted as served.
+  const std::uint64_t Sent = Counters.Sent - SentAtCalm;
+  const std::uint64_t Served = Counters.Served - ServedAtCalm;
+  if (Sent == 0 || Served * 10 < Sent * 9)
+    Violations.add("calls are served after the faults",
+                   std::to_string(Served) + " of " + std::to_string(Sent));
+  std::printf("seed %llu: %llu requests, %llu served, %llu failed; %llu resets by forwarders; "
+              "%zu broken promises\n",
+              static_cast<unsigned long long>(Settings.Seed),
+              static_cast<unsigned long long>(Counters.Sent),
+              static_cast<unsigned long long>(Counters.Served),
+              static_cast<unsigned long long>(Counters.Failed),
+              static_cast<unsigned long long>(Counters.ForwarderResets),
+              Violations.counts().size());
+  return Violations.counts().empty();
+}
+
+} // namespace briarpoint::soak
--- /dev/null
+++ b/soak/store_proxy.cpp
@@ -0,0 +1,101 @@
+#include "soak/store_proxy.h"
+
+#include "io/socket_address.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <list>
+#include <stdexcept>
+
+namespace briarpoint::soak {
+
+namespace {
+
+struct bufferevent_deleter {
+  void operator()(bufferevent *Buffer) const { bufferevent_free(Buffer); }
+};
+struct listener_deleter {
+  void operator()(evconnlistener *Listener) const { evconnlistener_free(Listener); }
+};
+
+} // namespace
+
+struct store_proxy::state {
+  /// Both sides of a connection.
+  struct pair {
+    state *Owner = nullptr;
+    std::list<pair>::iterator Position;
+    std::unique_ptr<bufferevent, bufferevent_deleter> Client;
+    std::unique_ptr<bufferevent, bufferevent_deleter> Server;
+  };
+
+  event_loop &Loop;
+  socket_address Store;
+  proxy_fault Fault = proxy_fault::None;
+  std::list<pair> Pairs;
+  std::unique_ptr<evconnlistener, listener_deleter> Listener;
+
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *, int, void *Argument);
+  static void onRead(bufferevent *From, void *Argument);
+  static void onEvent(bufferevent *, short What, void *Argument);
+};
+
+void store_proxy::state::onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+                                  void *Argument) {
+  auto &Self = *static_cast<state *>(Argument);
+  if (Self.Fault == proxy_fault::Reset) {
+    evutil_closesocket(Socket);
+    return;
+  }
+  const auto Pair = Self.Pairs.emplace(Self.Pairs.end());
+  Pair->Owner = &Self;
+  Pair->Position = Pair;
+  Pair->Client.reset(bufferevent_socket_new(Self.Loop.base(), Socket, BEV_OPT_CLOSE_ON_FREE));
+  Pair->Server.reset(bufferevent_socket_new(Self.Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE));
+  for (bufferevent *Side : {Pair->Client.get(), Pair->Server.get()}) {
+    bufferevent_setcb(Side, onRead, nullptr, onEvent, &*Pair);
+    bufferevent_enable(Side, EV_READ | EV_WRITE);
+  }
+  bufferevent_socket_connect(Pair->Server.get(), Self.Store.get(),
+                             static_cast<int>(Self.Store.Size));
+}
+
+void store_proxy::state::onRead(bufferevent *From, void *Argument) {
+  auto &Pair = *static_cast<pair *>(Argument);
+  const bool IsAnswer = From == Pair.Server.get();
+  const proxy_fault Fault = Pair.Owner->Fault;
+  evbuffer *Bytes = bufferevent_get_input(From);
+  if (Fault == proxy_fault::Silent || (Fault == proxy_fault::AnswersLost && IsAnswer))
+    evbuffer_drain(Bytes, evbuffer_get_length(Bytes));
+  else
+    bufferevent_write_buffer((IsAnswer ? Pair.Client : Pair.Server).get(), Bytes);
+}
+
+void store_proxy::state::onEvent(bufferevent *, short What, void *Argument) {
+  auto &Pair = *static_cast<pair *>(Argument);
+  if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    Pair.Owner->Pairs.erase(Pair.Position);
+}
+
+store_proxy::store_proxy(event_loop &Loop, const endpoint &Local, const endpoint &Store)
+    : State(
+          std::make_unique<state>(state{Loop, toSocketAddress(Store), proxy_fault::None, {}, {}})) {
+  const socket_address Address = toSocketAddress(Local);
+  State->Listener.reset(evconnlistener_new_bind(Loop.base(), state::onAccept, State.get(),
+                                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                                Address.get(), static_cast<int>(Address.Size)));
+  if (!State->Listener)
+    throw std::runtime_error("can't listen on " + toString(Local));
+}
+
+store_proxy::~store_proxy() = default;
+
+void store_proxy::setFault(proxy_fault Fault) {
+  State->Fault = Fault;
+  if (Fault == proxy_fault::Reset)
+    State->Pairs.clear();
+}
+
+} // namespace briarpoint::soak
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -116,7 +116,8 @@
     Flow = Packet.Ends ? nullptr : Flows.add(Packet, nullptr, Now);
   else if (Flow->Target != nullptr)
     flow_tracker::move(*Flow, nullptr);
-  if (Flow == nullptr || Now - Flow->SentAt < Settings.UnknownTokenTime)
+  if (Flow == nullptr || Now - Flow->SentAt < Settings.UnknownTokenTime ||
+      TargetsCurrentAt <= Flow->SentAt)
     return {forward_action::Drop, forward_reason::UnknownToken};
   Flows.erase(Packet.Flow);
   return {forward_action::Reset, forward_reason::UnknownToken};
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -40,6 +40,10 @@
   bool ready() const { return Routes.version() != 0 && TargetsKnown && Targets.size() > 0; }
   void setTargetsKnown() { TargetsKnown = true; }
 
+  /// The store's answer of this time told about all targets. A flow with an unknown token is reset
+  /// only if the store has answered since: otherwise its target may be one that isn't known yet.
+  void setTargetsCurrent(instant At) { TargetsCurrentAt = At; }
+
   std::size_t trackedFlows() const { return Flows.size(); }
 
 private:
@@ -58,6 +62,7 @@
   /// The last flow that each caller's address opened since the last sweep.
   std::unordered_map<std::uint32_t, flow_address> RecentOpens;
   bool TargetsKnown = false;
+  instant TargetsCurrentAt{};
 };
 
 } // namespace briarpoint
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -130,6 +130,7 @@
   void stop();
   void sweep();
   void receiveWhenReady();
+  void receive();
   void reload(const read_function &Read);
 };
 
@@ -176,7 +177,15 @@
   Log.write(log_event::ReceivingBegan, {{"ready", Packets.ready() ? "yes" : "no"},
                                         {"version", std::to_string(Routes.version())},
                                         {"targets", std::to_string(Targets.size())}});
-  Loop.onReadable(Socket.descriptor(), [this] { Socket.receive(); });
+  Loop.onReadable(Socket.descriptor(), [this] { receive(); });
+}
+
+void forwarder::parts::receive() {
+  Packets.setTargetsCurrent(RegistrationWatcher.answeredAt());
+  Socket.receive();
+  // Another balancer knows a target that this one doesn't: its news may be stuck.
+  if (Socket.takeUnknownToken())
+    RegistrationWatcher.refresh();
 }
 
 void forwarder::parts::sweep() {
--- a/src/forwarder/packet_socket.cpp
+++ b/src/forwarder/packet_socket.cpp
@@ -44,6 +44,7 @@
   }
   const forward_decision Decision = Forwarder.decide(*Packet, Now);
   count(Decision);
+  UnknownToken = UnknownToken || Decision.Reason == forward_reason::UnknownToken;
   if (Decision.Action == forward_action::Forward)
     forward(Datagram, *Decision.Target);
   else if (Decision.Action == forward_action::Reset)
--- a/src/forwarder/packet_socket.h
+++ b/src/forwarder/packet_socket.h
@@ -11,6 +11,8 @@
 #include "io/send_batch.h"
 #include "io/time_source.h"
 
+#include <utility>
+
 namespace briarpoint {
 
 /// Receives callers' packets on a UDP socket, has the forwarder decide, and sends them on.
@@ -29,6 +31,9 @@
   /// Ends flows of targets that are gone and forgets idle ones.
   void sweep();
 
+  /// Whether a packet with an unknown token came since the last call.
+  bool takeUnknownToken() { return std::exchange(UnknownToken, false); }
+
   /// When the last packet was received.
   instant lastPacket() const { return LastPacket; }
 
@@ -49,6 +54,7 @@
   receive_batch Incoming;
   send_batch Outgoing;
   instant LastPacket{};
+  bool UnknownToken = false;
 };
 
 } // namespace briarpoint
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -166,7 +166,16 @@
 http_connection::http_connection(event_base *Base, const http_connection_settings &Settings)
     : State(std::make_unique<state>(Base, Settings)) {}
 
-http_connection::~http_connection() { State->Connection.reset(); }
+http_connection::~http_connection() { cancel(); }
+
+void http_connection::cancel() {
+  event_del(State->Deadline.get());
+  event_del(State->ConnectCheck.get());
+  event_del(State->Delivery.get());
+  State->Connection.reset();
+  State->Done = nullptr;
+  State->Answer = {};
+}
 
 void http_connection::send(const outgoing_request &Call, callback Done) {
   state &Self = *State;
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -40,6 +40,9 @@
   /// no complete response in time. It may send the next request. No call may be in progress.
   void send(const outgoing_request &Call, callback Done);
 
+  /// Drops a call in progress without calling back, and the connection.
+  void cancel();
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -78,6 +78,9 @@
   /// Waits until an object of the kind has changed since \p Revision, \p Wait at most.
   virtual void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
                      std::function<void(watch_answer)> Done) = 0;
+
+  /// Drops the call in progress, if there is one, and its connection.
+  virtual void cancel() = 0;
 };
 
 } // namespace briarpoint
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -18,20 +18,31 @@
     if (NextKind == call_kind::List)
       startList();
     else
-      startWatch();
+      startWatch(Failures > 0 ? Settings.ProbeWait : Settings.Wait);
   });
 }
 
+void object_watcher::refresh() {
+  const instant Now = Scheduler.now();
+  // A list in progress, or a call that is due after a failure, does the same.
+  if (!Calling || NextKind == call_kind::List || Now < NextRefreshAt)
+    return;
+  NextRefreshAt = Now + Settings.RefreshInterval;
+  Api.cancel();
+  startWatch(Settings.ProbeWait);
+}
+
 void object_watcher::startList() {
+  Calling = true;
   ++(ListFreshness == freshness::Stale ? Counters.StaleLists : Counters.Lists);
   const std::string After = Pages.empty() ? "" : Pages.back().Name;
   Api.list(Kind, After, ListFreshness,
            [this](list_answer Answer) { finishList(std::move(Answer)); });
 }
 
-void object_watcher::startWatch() {
+void object_watcher::startWatch(duration Wait) {
   ++Counters.Watches;
-  const duration Wait = Failures > 0 ? Settings.ProbeWait : Settings.Wait;
+  Calling = true;
   const auto Jitter =
       static_cast<duration::rep>(Random.below(static_cast<std::uint64_t>(Wait.count() / 10 + 1)));
   Api.watch(Kind, Revision, Wait - duration(Jitter),
@@ -39,6 +50,7 @@
 }
 
 void object_watcher::finishList(list_answer Answer) {
+  Calling = false;
   // The pages read so far stay valid: the watch starts from the revision of the first one.
   if (Answer.Outcome != call_outcome::Done) {
     fail(Answer.Outcome);
@@ -67,6 +79,7 @@
 }
 
 void object_watcher::finishWatch(const watch_answer &Answer) {
+  Calling = false;
   if (Answer.Outcome == call_outcome::HistoryGone) {
     ++Counters.Outcomes[static_cast<std::size_t>(Answer.Outcome)];
     NextKind = call_kind::List;
@@ -94,6 +107,7 @@
 }
 
 void object_watcher::succeed() {
+  AnsweredAt = Scheduler.now();
   ++Counters.Outcomes[static_cast<std::size_t>(call_outcome::Done)];
   if (std::exchange(Failures, 0) > 0)
     Listener.onContact(true, call_outcome::Done);
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -24,6 +24,8 @@
   /// Time between a change and the next watch. Changes come in groups, and each watch that returns
   /// is a priced call; a change may take 3 s to be in force.
   duration Gather = std::chrono::milliseconds(250);
+  /// Least time between two refreshes; each is a priced call.
+  duration RefreshInterval = std::chrono::milliseconds(2000);
   backoff_settings Backoff{std::chrono::milliseconds(100), std::chrono::milliseconds(1000)};
 };
 
@@ -38,6 +40,14 @@
   /// Makes the first call.
   void start();
 
+  /// Something suggests that changes were missed: asks the store at once, on a new connection,
+  /// instead of waiting for the watch in progress. A connection may go silent without an end. Does
+  /// nothing for RefreshInterval after the last time.
+  void refresh();
+
+  /// When the store answered last; what it reported then was complete.
+  instant answeredAt() const { return AnsweredAt; }
+
   /// The store's revision up to which everything was reported; 0 before the first list.
   std::uint64_t revision() const { return Revision; }
   const watch_counters &counters() const { return Counters; }
@@ -46,7 +56,7 @@
   enum class call_kind : std::uint8_t { List, Watch };
 
   void startList();
-  void startWatch();
+  void startWatch(duration Wait);
   void finishList(list_answer Answer);
   void finishWatch(const watch_answer &Answer);
   void fail(call_outcome Outcome);
@@ -67,6 +77,9 @@
   std::uint64_t PagesRevision = 0;
   std::uint64_t Revision = 0;
   std::uint32_t Failures = 0;
+  bool Calling = false;
+  instant NextRefreshAt{};
+  instant AnsweredAt{};
   watch_counters Counters;
 };
 
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -346,6 +346,19 @@
 
 platform_calls platform_server::calls() const { return State->calls(); }
 
+void platform_server::writeObject(const std::string &Kind, const std::string &Name,
+                                  const std::string &SpecJson) {
+  json Spec = json::parse(SpecJson);
+  if (!State->Objects.create(Kind, Name, Spec).Written)
+    State->Objects.replace(Kind, Name, 0, std::move(Spec));
+  State->answerWatches();
+}
+
+void platform_server::removeObject(const std::string &Kind, const std::string &Name) {
+  State->Objects.remove(Kind, Name);
+  State->answerWatches();
+}
+
 void platform_server::endWatches() {
   const std::vector<state::waiting_watch> Waiting = State->Watches;
   for (const state::waiting_watch &Watch : Waiting)
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -37,6 +37,10 @@
   void setFaults(const platform_faults &Faults);
   platform_calls calls() const;
 
+  /// Creates or replaces an object, or removes it, as a call would.
+  void writeObject(const std::string &Kind, const std::string &Name, const std::string &SpecJson);
+  void removeObject(const std::string &Kind, const std::string &Name);
+
   /// Ends all waiting watches as if their time limit had passed.
   void endWatches();
 
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -81,6 +81,7 @@
 // callers that wait for a target that nobody knows until their time is over.
 TEST_F(forwarding_to_one_target, dropsUnknownTokensFirstAndResetsThemLater) {
   const flow_token Unknown = makeFlowToken(77);
+  Forwarder.setTargetsCurrent(Now + milliseconds(1));
   expectDecision(send(7, Unknown, 500), forward_action::Drop, forward_reason::UnknownToken);
   Now += milliseconds(600);
   expectDecision(send(7, Unknown, 500), forward_action::Drop, forward_reason::UnknownToken);
@@ -88,6 +89,17 @@
   expectDecision(send(7, Unknown, 500), forward_action::Reset, forward_reason::UnknownToken);
 }
 
+// Guards against a balancer that is cut off from the store and resets flows of targets that started
+// meanwhile (soak, seed 1).
+TEST_F(forwarding_to_one_target, neverResetsUnknownTokensWhileTheStoreDoesNotAnswer) {
+  Forwarder.setTargetsCurrent(Now);
+  for (int I = 0; I < 20; ++I) {
+    expectDecision(send(7, makeFlowToken(77), 500), forward_action::Drop,
+                   forward_reason::UnknownToken);
+    Now += milliseconds(400);
+  }
+}
+
 TEST_F(forwarding_to_one_target, forwardsAnUnknownTokenOnceItsTargetIsKnown) {
   const flow_token Later = makeFlowToken(77);
   send(7, Later, 500);
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -33,12 +33,17 @@
              std::function<void(watch_answer)> Done) override {
     Calls.push_back({nullptr, std::move(Done), "", freshness::Linearizable, Revision, Wait});
   }
+  void cancel() override {
+    Calls.clear();
+    ++Cancelled;
+  }
   pending_call take() {
     pending_call Result = std::move(Calls.front());
     Calls.pop_front();
     return Result;
   }
   std::deque<pending_call> Calls;
+  int Cancelled = 0;
 };
 
 class fake_scheduler final : public scheduler {
@@ -140,6 +145,23 @@
   EXPECT_EQ(Api.Calls.front().Revision, 12U);
 }
 
+// Guards against news that are stuck in a connection that went silent (soak, seed 1): what suggests
+// missed changes asks again on a new connection, but not with each packet.
+TEST_F(watching_listed_objects, asksAgainOnANewConnectionWhenRefreshed) {
+  Watcher.refresh();
+  EXPECT_EQ(Api.Cancelled, 1);
+  ASSERT_EQ(Api.Calls.size(), 1U);
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
+  Watcher.refresh();
+  EXPECT_EQ(Api.Cancelled, 1);
+  Scheduler.Now += seconds(2);
+  Watcher.refresh();
+  EXPECT_EQ(Api.Cancelled, 2);
+  answerWatch(1, 11);
+  EXPECT_EQ(Watcher.answeredAt(), Scheduler.Now);
+}
+
 TEST_F(watching_listed_objects, watchesAgainAtOnceIfNothingChanged) {
   answerWatch(0, 17);
   EXPECT_EQ(Scheduler.runNext(), duration::zero());
