End the processes of an interrupted soak

Cause: a soak ended by a signal left its forwarders running. Change: SIGTERM and SIGINT end the loop, and the destructors the processes.

--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -267,6 +267,9 @@
   // The processes start before the first fault.
   NextFault = Start + seconds(2);
   Loop.onInterval(TickInterval, [this] { tick(); });
+  // An interrupted run ends its processes, too.
+  for (const int Signal : {SIGTERM, SIGINT})
+    Loop.onSignal(Signal, [this] { Loop.stop(); });
   Loop.run();
 
   int Crashes = 0;
