End flows of a silent target only while callers go on repeating

Two flows had repeated a packet once and given up; 400 ms later their target counted as silent because time had passed, for 3 s, and each flow that arrived was reset at its first packet. Ruled out: an impairment of the host (it was flooded by requests that had waited for the store); a lost answer (other callers had theirs). Change: the time without an answer is that between the first and the last repeat, and it counts for 1 s after the last one. Conclusion: silence needs witnesses, not a timer.

--- a/src/forward/target_health.cpp
+++ b/src/forward/target_health.cpp
@@ -25,13 +25,13 @@
 
 std::uint32_t target_health::repeated(std::uint32_t FlowEpoch, instant Now) {
   // A suspicion that lapsed starts anew: its repeats say nothing about the present.
-  if (Repeats > 0 && Now >= LapsesAt)
+  if (Repeats > 0 && Now >= LastRepeatAt + SuspicionTime)
     answered();
   if (Repeats++ == 0)
     FirstRepeatAt = Now;
   if (FlowEpoch != Epoch)
     ++Flows;
-  LapsesAt = Now + SuspicionTime;
+  LastRepeatAt = Now;
   return Epoch;
 }
 
--- a/src/forward/target_health.h
+++ b/src/forward/target_health.h
@@ -15,15 +15,18 @@
   /// Repeated packets without an answer in between after which a target is suspected. One
   /// may be a lost datagram.
   static constexpr std::uint32_t SuspectAfterRepeats = 2;
-  /// Distinct flows, and time without an answer since the first repeat, after which flows of a
-  /// silent target are ended. A caller repeats after 200 ms, and a full queue of a target that
-  /// works takes about as long, so a target that works has answered somebody by then.
+  /// Distinct flows, and time between their first and last repeat without an answer, after which
+  /// flows of a silent target are ended. A caller repeats after 200 and 600 ms, and a full queue of
+  /// a target that works takes about 200 ms, so a target that works has answered somebody by then.
   static constexpr std::uint32_t DeadAfterFlows = 2;
-  static constexpr duration DeadAfter = std::chrono::milliseconds(400);
+  static constexpr duration DeadAfter = std::chrono::milliseconds(350);
   /// The same for a single flow, which repeats after 200, 600 and 1,400 ms: its caller has time for
   /// another try then.
   static constexpr std::uint32_t DeadAfterRepeats = 3;
   static constexpr duration DeadAfterOneFlow = std::chrono::milliseconds(1100);
+  /// Callers that gave up repeat nothing, so that older repeats no longer say that nobody is
+  /// answered.
+  static constexpr duration DeadTime = std::chrono::milliseconds(1000);
   /// A suspicion lapses this long after the last repeat, so that a target without flows is tried
   /// again.
   static constexpr duration SuspicionTime = std::chrono::milliseconds(3000);
@@ -50,13 +53,16 @@
   std::uint32_t repeated(std::uint32_t FlowEpoch, instant Now);
 
   /// The target should get no new flows.
-  bool suspected(instant Now) const { return Repeats >= SuspectAfterRepeats && Now < LapsesAt; }
+  bool suspected(instant Now) const {
+    return Repeats >= SuspectAfterRepeats && Now < LastRepeatAt + SuspicionTime;
+  }
 
   /// Callers of the target are better off with new flows.
   bool dead(instant Now) const {
-    return suspected(Now) &&
-           ((Flows >= DeadAfterFlows && Now >= FirstRepeatAt + DeadAfter) ||
-            (Repeats >= DeadAfterRepeats && Now >= FirstRepeatAt + DeadAfterOneFlow));
+    const duration Span = LastRepeatAt - FirstRepeatAt;
+    return Now < LastRepeatAt + DeadTime && Repeats >= SuspectAfterRepeats &&
+           ((Flows >= DeadAfterFlows && Span >= DeadAfter) ||
+            (Repeats >= DeadAfterRepeats && Span >= DeadAfterOneFlow));
   }
 
   std::uint32_t repeats() const { return Repeats; }
@@ -67,7 +73,7 @@
   std::uint32_t Repeats = 0;
   std::uint32_t Flows = 0;
   instant FirstRepeatAt{};
-  instant LapsesAt{};
+  instant LastRepeatAt{};
   /// Of the oldest handshake in progress.
   instant DoubtFrom = Never;
   instant DoubtUntil{};
