Place a flow anew whose target isn't known any more

Cause: read in the review before the landing: after a packet that opens a flow, a packet of the same flow with an unknown token left the flow without a target, and a late copy of the first packet dereferenced it. Anybody could end a forwarder by three packets. Change: such a copy is placed like a new flow. The test crashed before.

--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -53,7 +53,9 @@
 forward_decision packet_forwarder::open(const caller_packet &Packet, const active_route &Route,
                                         instant Now) {
   tracked_flow *Flow = Flows.find(Packet.Flow);
-  const bool Repeat = Flow != nullptr && Flow->Opening && Flow->Sequence == Packet.Sequence;
+  // A flow has no target after a packet of it came with an unknown token.
+  const bool Repeat = Flow != nullptr && Flow->Opening && Flow->Target != nullptr &&
+                      Flow->Sequence == Packet.Sequence;
   if (!Repeat) {
     target *Chosen = place(Packet, Route, refusedBy(Packet), Now);
     if (Chosen == nullptr)
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -192,6 +192,14 @@
   target &Second = add("i-2", 2);
 };
 
+// Guards against a crash by a late copy of the packet that opened a flow, after a packet of the
+// same flow came with a token that nobody knows.
+TEST_F(forwarding_to_two_targets, placesAFlowAnewAfterAnUnknownToken) {
+  open(7);
+  send(7, makeFlowToken(77), 500);
+  expectDecision(open(7, 1), forward_action::Forward, forward_reason::Placed);
+}
+
 // Guards against two targets that answer one caller, which would confuse it about the token.
 TEST_F(forwarding_to_two_targets, sendsRepeatsOfAnOpenToTheSameTarget) {
   const forward_decision Placed = open(7);
