--- a/src/forward/flow_tracker.cpp
+++ b/src/forward/flow_tracker.cpp
@@ -80,10 +80,4 @@
   Flows.erase(Found);
 }
 
-void flow_tracker::expire(instant Before) {
-  eraseIf([Before](const flow_address &, const tracked_flow &Flow) {
-    return Flow.LastPacketAt < Before;
-  });
-}
-
 } // namespace briarpoint
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -38,9 +38,6 @@
 
   void erase(const flow_address &Flow);
 
-  /// Forgets flows without a packet since \p Before.
-  void expire(instant Before);
-
   /// Calls \p Remove with each flow; a flow for which it returns true is forgotten.
   template <typename T> void eraseIf(T &&Remove) {
     for (auto It = Flows.begin(); It != Flows.end();) {
