--- a/tests/forward/forward_support.h
+++ b/tests/forward/forward_support.h
@@ -22,6 +22,13 @@
   std::vector<duration> Answered;
 };
 
+/// Checks what is done with a packet and why.
+inline void expectDecision(const forward_decision &Decision, forward_action Action,
+                           forward_reason Reason) {
+  EXPECT_EQ(toString(Decision.Action), toString(Action));
+  EXPECT_EQ(toString(Decision.Reason), toString(Reason));
+}
+
 /// A balancer in data centre "a" with one route to service "web", and its clock.
 class forwarding : public testing::Test {
 protected:
@@ -112,6 +119,12 @@
   packet_forwarder Forwarder;
 };
 
+/// The same with one target.
+class forwarding_to_one_target : public forwarding {
+protected:
+  target &First = add("i-1", 1);
+};
+
 } // namespace briarpoint
 
 #endif // BRIARPOINT_TESTS_FORWARD_FORWARD_SUPPORT_H
