Let refused callers of the load model ask again

Cause: a request that a target of the model refuses, because its queue is full, was forgotten, and its caller never asked again. Change: the refused caller opens another flow, as callers do that are told that their request hasn't run.

--- a/tests/forward/load_model.h
+++ b/tests/forward/load_model.h
@@ -116,7 +116,9 @@
   void open(caller_model &Caller);
   void transmit(caller_model &Caller, int Repeat);
   void arrive(caller_model &Caller, target_model &Target, std::uint64_t Step);
-  void serve(target_model &Target, std::function<void()> Done);
+  /// Returns false if the target refuses the request because its queue is full; its caller then
+  /// asks again on another flow.
+  bool serve(target_model &Target, std::function<void()> Done);
   void answered(caller_model &Caller, target_model &Target);
   void failed(caller_model &Caller);
   void finish(caller_model &Caller, bool Served);
--- a/tests/forward/load_model_support.cpp
+++ b/tests/forward/load_model_support.cpp
@@ -176,7 +176,8 @@
   if (!Caller.Packet.Opens) {
     ++Target.Arrivals;
     ++Caller.Step;
-    serve(Target, [this, &Caller, &Target] { answered(Caller, Target); });
+    if (!serve(Target, [this, &Caller, &Target] { answered(Caller, Target); }))
+      after(Delay, [this, &Caller] { failed(Caller); });
     return;
   }
   ++Caller.Step;
@@ -193,12 +194,12 @@
   });
 }
 
-void load_model::serve(target_model &Target, std::function<void()> Done) {
+bool load_model::serve(target_model &Target, std::function<void()> Done) {
   if (Target.Busy >= Target.Registration.Slots) {
-    if (Target.Waiting.size() < Settings.Queue)
-      Target.Waiting.push_back(std::move(Done));
-    // A request that doesn't fit is refused; the caller's goal is missed, and it asks again.
-    return;
+    if (Target.Waiting.size() >= Settings.Queue)
+      return false;
+    Target.Waiting.push_back(std::move(Done));
+    return true;
   }
   ++Target.Busy;
   // Exponential work with the given mean.
@@ -212,6 +213,7 @@
     Target.Waiting.pop_front();
     serve(Target, std::move(Next));
   });
+  return true;
 }
 
 void load_model::answered(caller_model &Caller, target_model &Target) {
