Index each target by itself

Change: a new target is entered into the index by itself; the index is made anew only if an entry changes its service or is forgotten. Removed targets are looked for every 5 s. Suspected targets are compared only while there are some. Of two entries created at the same revision the one with the smaller name owns a token, so that the order of arrival doesn't decide. Conclusion: the cost of a change no longer grows with the number of targets.

--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// How often removed targets are looked for, which takes time in proportion to all targets.
+constexpr duration ExpireInterval = std::chrono::seconds(5);
+
 /// Callers of the target are better off with new flows. The store's word alone isn't enough: a host
 /// may go on serving for seconds after its entry has disappeared.
 bool silent(const target &Target, instant Now) {
@@ -67,7 +70,8 @@
   }
 
   // Two targets that both answer would confuse the caller about the token, so a repeat goes to the
-  // same target unless that one is thought dead.
+  // same target unless that one is thought dead. The first repeat alone doesn't say so: answers may
+  // be late because links or this balancer are overloaded.
   Flows.observe(*Flow, Packet, Now);
   target *Current = Flow->Target;
   if (!Current->Health.suspected(Now) && Current->accepts(Now))
@@ -136,7 +140,10 @@
     Reset(Address, Flow);
     return true;
   });
-  Targets.expire(Now);
+  if (Now >= NextExpireAt) {
+    Targets.expire(Now);
+    NextExpireAt = Now + ExpireInterval;
+  }
   RecentOpens.clear();
 }
 
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -63,6 +63,7 @@
   std::unordered_map<std::uint32_t, flow_address> RecentOpens;
   bool TargetsKnown = false;
   instant TargetsCurrentAt{};
+  instant NextExpireAt{};
 };
 
 } // namespace briarpoint
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -1,24 +1,20 @@
 #include "forward/target_registry.h"
 
 #include <set>
+#include <tuple>
 
 namespace briarpoint {
 
 void target_registry::put(const target_registration &Registration, instant Now) {
-  if (update(Registration, Now))
-    index();
-}
-
-bool target_registry::update(const target_registration &Registration, instant Now) {
   std::unique_ptr<target> &Entry = Targets[Registration.Name];
   const bool Known = Entry != nullptr;
   if (Known && Registration.Revision < Entry->Registration.Revision)
-    return false;
+    return;
   if (!Known)
     Entry = std::make_unique<target>();
   const bool Restarted = Known && Entry->Registration.StartedMs != Registration.StartedMs;
-  const bool Moved = !Known || Entry->Registration.Service != Registration.Service ||
-                     Entry->Registration.Created != Registration.Created;
+  const bool Moved = Known && (Entry->Registration.Service != Registration.Service ||
+                               Entry->Registration.Created != Registration.Created);
   Entry->Registration = Registration;
   Entry->Token = makeFlowToken(Registration.Number);
   Entry->Local = Registration.DataCentre == Settings.DataCentre;
@@ -31,7 +27,10 @@
     Entry->Health = target_health();
     Entry->AnswerTime = answer_time();
   }
-  return Moved;
+  if (!Known)
+    addToIndex(*Entry);
+  else if (Moved)
+    index();
 }
 
 void target_registry::remove(const std::string &Name, std::uint64_t Revision, instant Now) {
@@ -46,13 +45,10 @@
 void target_registry::replaceAll(std::span<const target_registration> Registrations,
                                  std::uint64_t Revision, instant Now) {
   std::set<std::string_view> Listed;
-  bool Moved = false;
   for (const target_registration &Registration : Registrations) {
-    Moved = update(Registration, Now) || Moved;
+    put(Registration, Now);
     Listed.insert(Registration.Name);
   }
-  if (Moved)
-    index();
   std::vector<target *> Missing;
   for (const auto &[Name, Entry] : Targets)
     if (!Listed.contains(Name) && !Entry->removed() && Revision >= Entry->Registration.Revision)
@@ -90,20 +86,24 @@
   return Found == Services.end() ? std::span<target *const>() : Found->second;
 }
 
+void target_registry::addToIndex(target &Target) {
+  Services[Target.Registration.Service].push_back(&Target);
+  target *&Owner = Tokens[static_cast<std::uint32_t>(Target.Token)];
+  Target.OwnsToken =
+      Owner == nullptr || std::tie(Target.Registration.Created, Target.Registration.Name) <
+                              std::tie(Owner->Registration.Created, Owner->Registration.Name);
+  if (!Target.OwnsToken)
+    return;
+  if (Owner != nullptr)
+    Owner->OwnsToken = false;
+  Owner = &Target;
+}
+
 void target_registry::index() {
   Services.clear();
   Tokens.clear();
-  for (const auto &[Name, Entry] : Targets) {
-    Services[Entry->Registration.Service].push_back(Entry.get());
-    target *&Owner = Tokens[static_cast<std::uint32_t>(Entry->Token)];
-    Entry->OwnsToken =
-        Owner == nullptr || Entry->Registration.Created < Owner->Registration.Created;
-    if (!Entry->OwnsToken)
-      continue;
-    if (Owner != nullptr)
-      Owner->OwnsToken = false;
-    Owner = Entry.get();
-  }
+  for (const auto &[Name, Entry] : Targets)
+    addToIndex(*Entry);
 }
 
 } // namespace briarpoint
--- a/src/forward/target_registry.h
+++ b/src/forward/target_registry.h
@@ -59,9 +59,9 @@
   std::size_t size() const { return Targets.size(); }
 
 private:
-  /// Returns whether the services and tokens must be indexed again, which takes time in proportion
-  /// to the number of targets.
-  bool update(const target_registration &Registration, instant Now);
+  /// Enters a target into the services and tokens.
+  void addToIndex(target &Target);
+  /// Makes services and tokens anew, which takes time in proportion to the number of targets.
   void index();
 
   target_registry_settings Settings;
--- a/src/forwarder/forwarder_log.cpp
+++ b/src/forwarder/forwarder_log.cpp
@@ -62,7 +62,7 @@
                                                {"service", Target.Registration.Service},
                                                {"repeats", std::to_string(Target.Health.repeats())},
                                                {"doubted", Doubted ? "yes" : "no"}});
-    } else if (Suspected.erase(Name) > 0) {
+    } else if (!Suspected.empty() && Suspected.erase(Name) > 0) {
       Log.write(log_event::TargetAnswered, {{"target", Name}});
     }
   });
