Read the store's answers into documents at once

Cause: each answer was parsed into nlohmann's document and converted into ours, which took most of the time of a start with many targets. Ruled out: another JSON library; the conversion cost as much as the parsing. Change: the parser's events build our document, as they do for configurations. readForeignJson() accepts fields that appear twice and reads what is nested too deep as null, because one odd entry of another writer mustn't make an answer useless.

--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -19,7 +19,15 @@
 /// because it silently keeps the last of two fields with the same name.
 class document_builder final : public nlohmann::json_sax<nlohmann::json> {
 public:
-  document_builder(std::string_view Text, const std::string &Source) : Text(Text), Source(Source) {}
+  enum class policy : std::uint8_t {
+    /// Reports fields that appear twice, large objects and deep nesting.
+    Strict,
+    /// Accepts them; what is nested too deep is null.
+    Tolerant,
+  };
+
+  document_builder(std::string_view Text, const std::string &Source, policy Policy)
+      : Text(Text), Source(Source), Policy(Policy) {}
 
   bool null() override { return add(std::monostate{}); }
   bool boolean(bool Value) override { return add(Value); }
@@ -38,6 +46,11 @@
   bool end_array() override { return close(); }
 
   bool key(string_t &Name) override {
+    if (Policy == policy::Tolerant) {
+      if (TooDeep == 0)
+        Open.back().FieldName = std::move(Name);
+      return true;
+    }
     const auto &Fields = std::get<document_value::table>(Open.back().Value.Content);
     if (Fields.size() >= MaxFields) {
       Findings.push_back({Source, 0, 0, "", "has an object of more than 256 fields"});
@@ -86,7 +99,8 @@
   }
 
   template <typename T> bool add(T &&Content) {
-    place(document_value{std::forward<T>(Content)});
+    if (TooDeep == 0)
+      place(document_value{std::forward<T>(Content)});
     return true;
   }
 
@@ -94,6 +108,10 @@
   bool open(document_value::array Array) { return push(document_value{std::move(Array)}); }
 
   bool push(document_value Value) {
+    if (Policy == policy::Tolerant && Open.size() >= MaxDepth) {
+      ++TooDeep;
+      return true;
+    }
     if (Open.size() >= MaxDepth) {
       Findings.push_back({Source, 0, 0, "", "is nested more than 32 levels deep"});
       return false;
@@ -103,6 +121,11 @@
   }
 
   bool close() {
+    if (TooDeep > 0) {
+      if (--TooDeep == 0)
+        place({});
+      return true;
+    }
     document_value Value = std::move(Open.back().Value);
     Open.pop_back();
     place(std::move(Value));
@@ -119,56 +142,34 @@
       Array->push_back(std::move(Value));
     else
       std::get<document_value::table>(Parent.Value.Content)
-          .push_back({Parent.FieldName, std::move(Value)});
+          .push_back({std::move(Parent.FieldName), std::move(Value)});
   }
 
   std::string_view Text;
   const std::string &Source;
+  policy Policy;
+  /// Levels below the last one that is read.
+  std::size_t TooDeep = 0;
   document_value Root;
   std::vector<open_value> Open;
   std::vector<finding> Findings;
 };
 
-document_value convert(const nlohmann::json &Value, std::size_t Depth) {
-  using kind = nlohmann::json::value_t;
-  if (Depth > MaxDepth)
-    return {};
-  switch (Value.type()) {
-  case kind::boolean:
-    return {Value.get<bool>()};
-  case kind::number_unsigned:
-    return {Value.get<std::uint64_t>()};
-  case kind::number_integer:
-    return {Value.get<std::int64_t>()};
-  case kind::number_float:
-    return {Value.get<double>()};
-  case kind::string:
-    return {Value.get_ref<const std::string &>()};
-  case kind::array: {
-    document_value::array Elements;
-    for (const nlohmann::json &Element : Value)
-      Elements.push_back(convert(Element, Depth + 1));
-    return {std::move(Elements)};
-  }
-  case kind::object: {
-    document_value::table Fields;
-    for (const auto &[Name, Field] : Value.items())
-      Fields.push_back({Name, convert(Field, Depth + 1)});
-    return {std::move(Fields)};
-  }
-  default:
-    return {};
-  }
+document_value read(std::string_view Text, const std::string &Source,
+                    document_builder::policy Policy) {
+  document_builder Builder(Text, Source, Policy);
+  nlohmann::json::sax_parse(Text, &Builder);
+  return Builder.finish();
 }
 
 } // namespace
 
-document_value toDocument(const nlohmann::json &Value) { return convert(Value, 1); }
-
 document_value readJson(std::string_view Text, const std::string &Source) {
-  document_builder Builder(Text, Source);
-  nlohmann::json::sax_parse(Text, &Builder);
-  return Builder.finish();
+  return read(Text, Source, document_builder::policy::Strict);
+}
+
+document_value readForeignJson(std::string_view Text, const std::string &Source) {
+  return read(Text, Source, document_builder::policy::Tolerant);
 }
 
 } // namespace briarpoint
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -3,8 +3,6 @@
 
 #include "config/document_value.h"
 
-#include <nlohmann/json_fwd.hpp>
-
 #include <string_view>
 
 namespace briarpoint {
@@ -14,8 +12,10 @@
 /// more than 32 levels, or an object of more than 256 fields.
 document_value readJson(std::string_view Text, const std::string &Source);
 
-/// Converts a value that was parsed already. Levels below the 32nd are read as null.
-document_value toDocument(const nlohmann::json &Value);
+/// Reads JSON text that others wrote, of which a part may be of no use: a field may appear twice in
+/// an object, and values below the 32nd level are read as null.
+/// \throws findings_error for a syntax error.
+document_value readForeignJson(std::string_view Text, const std::string &Source);
 
 } // namespace briarpoint
 
