Derive from the platform's bounds how often the store is called

Changes of targets were gathered for 1 s although a draining target may get new flows for 3 s (5 s on the grown sites), watches waited 25 s although the store allows 30 s, and a store that refuses calls, each of which is priced, was called twice a second. Change: new settings drain_time and configuration_time, which the template fills in where the platform names them; changes are gathered for 0.4 and 0.1 of them, and pauses after failed calls grow up to the whole. Before the first list, pauses stay short.

--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "forwarder/route_feed.h"
 #include "io/http_get_server.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
@@ -29,13 +30,18 @@
 
 /// How often the settings file is compared with what was read last; it may change without a signal.
 constexpr duration SettingsInterval = std::chrono::seconds(10);
-/// Registrations change in groups, and a draining target goes on accepting flows, so they are
-/// gathered for longer than configurations.
-constexpr duration RegistrationGather = std::chrono::milliseconds(1000);
+/// Part of the time in which a change must be in force for which further changes are gathered. The
+/// rest is for a call that fails and its repeat. Registrations change in groups, and a draining
+/// target goes on accepting flows, so they are gathered for longer than configurations.
+constexpr double RegistrationGather = 0.4;
+constexpr double ConfigurationGather = 0.1;
 
-object_watcher_settings registrationWatch() {
+object_watcher_settings watchSettings(duration ChangeTime, double GatherShare) {
   object_watcher_settings Result;
-  Result.Gather = RegistrationGather;
+  // After trouble of the store, a change must be in force the platform's "contact" time (4 s or
+  // more) plus the change time later; a pause and a call of 1.8 s without an answer fit in that.
+  Result.Backoff.Limit = std::max(Result.FirstBackoff.Limit, ChangeTime);
+  Result.Gather = std::chrono::duration_cast<duration>(ChangeTime * GatherShare);
   return Result;
 }
 
@@ -110,10 +116,13 @@
         Configuration(Platform.Objects, Routes, Clock, Log, Counters,
                       [this] { receiveWhenReady(); }),
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
-        RegistrationWatcher(Platform.Objects.registrationKind(), registrationWatch(),
+        RegistrationWatcher(Platform.Objects.registrationKind(),
+                            watchSettings(AllSettings.DrainTime, RegistrationGather),
                             Platform.RegistrationApi, Registrations, RegistrationScheduler, Random),
-        ConfigurationWatcher(Platform.Objects.configurationKind(), {}, Platform.ConfigurationApi,
-                             Configuration, ConfigurationScheduler, Random),
+        ConfigurationWatcher(Platform.Objects.configurationKind(),
+                             watchSettings(AllSettings.ConfigurationTime, ConfigurationGather),
+                             Platform.ConfigurationApi, Configuration, ConfigurationScheduler,
+                             Random),
         ReadinessServer(Loop, AllSettings.Readiness,
                         [this](const std::string &Path) { return answerReadiness(Path); }),
         OperatorServer(Loop, AllSettings.Operator,
@@ -217,7 +226,8 @@
     Log.write(log_event::SettingsReloaded, {{"file", SettingsSource}});
     // What needs a restart keeps its old value.
     if (New != Settings)
-      Log.write(log_event::RestartNeeded, {{"finding", "listen, name, data_centre or a size"}});
+      Log.write(log_event::RestartNeeded,
+                {{"finding", "listen, name, data_centre, a time or a size"}});
   } catch (const findings_error &Error) {
     for (const finding &Finding : Error.findings())
       Log.write(log_event::SettingsRejected, {{"finding", toString(Finding)}});
--- a/src/forwarder/forwarder_settings.h
+++ b/src/forwarder/forwarder_settings.h
@@ -27,6 +27,10 @@
   duration ShutdownTime = std::chrono::seconds(6);
   /// Age at which a flow may be discarded.
   duration FlowLifetime = std::chrono::seconds(60);
+  /// Time after the store knows of a draining target until it must get no new flows.
+  duration DrainTime = std::chrono::seconds(3);
+  /// Time after the store has a configuration until it must be in force.
+  duration ConfigurationTime = std::chrono::seconds(3);
   std::uint32_t MaxFlows = 20'000;
   log_level LogLevel = log_level::Info;
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -103,7 +103,8 @@
   if (Failures++ == 0)
     Listener.onContact(false, Outcome);
   const instant Now = Scheduler.now();
-  callAfter(*nextRetry(Settings.Backoff, Failures - 1, Now, Never, Random) - Now);
+  const backoff_settings &Backoff = Revision == 0 ? Settings.FirstBackoff : Settings.Backoff;
+  callAfter(*nextRetry(Backoff, Failures - 1, Now, Never, Random) - Now);
 }
 
 void object_watcher::succeed() {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -15,9 +15,10 @@
 
 /// Settings of object_watcher.
 struct object_watcher_settings {
-  /// Time that a watch waits at the store for a change; up to a tenth is taken off at random, so
-  /// that balancers don't call at the same time. Each watch is one priced call.
-  duration Wait = std::chrono::seconds(25);
+  /// Time that a watch waits at the store for a change: the longest that the store allows, because
+  /// each watch is one priced call. Up to a tenth is taken off at random, so that balancers don't
+  /// call at the same time.
+  duration Wait = std::chrono::seconds(30);
   /// Wait of the first watch after a failure: short, because only its answer proves that the
   /// connection works again.
   duration ProbeWait = std::chrono::milliseconds(300);
@@ -26,7 +27,10 @@
   duration Gather = std::chrono::milliseconds(250);
   /// Least time between two refreshes; each is a priced call.
   duration RefreshInterval = std::chrono::milliseconds(2000);
-  backoff_settings Backoff{std::chrono::milliseconds(100), std::chrono::milliseconds(1000)};
+  /// Pauses after failed calls before the first list, without which nothing can be served, and
+  /// after it. Calls that the store refuses are priced, too.
+  backoff_settings FirstBackoff{std::chrono::milliseconds(100), std::chrono::milliseconds(1000)};
+  backoff_settings Backoff{std::chrono::milliseconds(100), std::chrono::milliseconds(3000)};
 };
 
 /// Keeps a listener up to date about all objects of one kind: a list, then watches. After a gap in
--- a/tests/forwarder/forwarder_settings_test.cpp
+++ b/tests/forwarder/forwarder_settings_test.cpp
@@ -51,6 +51,12 @@
       {"{{platform.address}}", "10.9.0.1:8"},
       {"{{bounds.grace_s}}", "6"},
       {"{{bounds.max_flow_s}}", "60"},
+      {"{{#bounds.drain_ms}}", ""},
+      {"{{bounds.drain_ms}}", "5000"},
+      {"{{/bounds.drain_ms}}", ""},
+      {"{{#bounds.config_apply_ms}}", ""},
+      {"{{bounds.config_apply_ms}}", "4000"},
+      {"{{/bounds.config_apply_ms}}", ""},
       {"{{listen.datagram_addr}}", "10.0.0.2:1"},
       {"{{listen.ready_addr}}", "10.0.0.2:2"},
       {"{{ip}}", "10.0.0.2"}};
@@ -63,6 +69,8 @@
   const forwarder_settings Settings = parseForwarderSettings(Text, "template");
   EXPECT_EQ(Settings.DataCentre, "riga-a");
   EXPECT_EQ(Settings.FlowLifetime, std::chrono::seconds(60));
+  EXPECT_EQ(Settings.DrainTime, std::chrono::seconds(5));
+  EXPECT_EQ(Settings.ConfigurationTime, std::chrono::seconds(4));
 }
 
 } // namespace
