--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -35,13 +35,18 @@
 /// target goes on accepting flows, so they are gathered for longer than configurations.
 constexpr double RegistrationGather = 0.4;
 constexpr double ConfigurationGather = 0.1;
+/// Limits of both, however much time a platform leaves: news of targets that crashed shouldn't wait
+/// longer. The grown deployments were played with these.
+constexpr duration MaxGather = std::chrono::seconds(2);
+constexpr duration MaxRetryPause = std::chrono::seconds(5);
 
 object_watcher_settings watchSettings(duration ChangeTime, double GatherShare) {
   object_watcher_settings Result;
   // After trouble of the store, a change must be in force the platform's "contact" time (4 s or
   // more) plus the change time later; a pause and a call of 1.8 s without an answer fit in that.
-  Result.Backoff.Limit = std::max(Result.FirstBackoff.Limit, ChangeTime);
-  Result.Gather = std::chrono::duration_cast<duration>(ChangeTime * GatherShare);
+  Result.Backoff.Limit = std::clamp(ChangeTime, Result.FirstBackoff.Limit, MaxRetryPause);
+  Result.Gather =
+      std::min(std::chrono::duration_cast<duration>(ChangeTime * GatherShare), MaxGather);
   return Result;
 }
 
