Drop packets that open flows and waited while the balancer stood still

Ruled out: a reset without cause (the target named by the token did stay silent); load (the log shows the stop and the old packet). Other packets are forwarded as before. They are counted as 'stale'.

--- a/src/forward/forward_decision.h
+++ b/src/forward/forward_decision.h
@@ -42,9 +42,11 @@
   TargetSilent,
   /// A packet of a flow for which the caller doesn't know a target, or an end of an unknown flow.
   Meaningless,
+  /// A packet that opens a flow and waited while this balancer stood still.
+  Stale,
 };
 
-inline constexpr std::size_t ForwardReasonCount = 11;
+inline constexpr std::size_t ForwardReasonCount = 12;
 
 /// Names for logs and metrics.
 std::string_view toString(forward_reason Reason);
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -9,6 +9,12 @@
 /// How often removed targets are looked for, which takes time in proportion to all targets.
 constexpr duration ExpireInterval = std::chrono::seconds(5);
 
+/// Sweeps are due every 250 ms. A balancer that made none for this long stood still; callers whose
+/// packets waited meanwhile have repeated them twice, and other balancers have opened their flows.
+constexpr duration PauseTime = std::chrono::milliseconds(1000);
+/// Time in which a balancer that stood still reads what waited.
+constexpr duration StaleTime = std::chrono::milliseconds(20);
+
 /// Callers of the target are better off with new flows. The store's word alone isn't enough: a host
 /// may go on serving for seconds after its entry has disappeared.
 bool silent(const target &Target, instant Now) {
@@ -32,9 +38,18 @@
     // An end of a flow needs no answer.
     return {Packet.Ends ? forward_action::Drop : forward_action::Reset, forward_reason::NoRoute};
   }
+  notePause(Now);
+  if (Packet.Opens && Now < StaleUntil)
+    return {forward_action::Drop, forward_reason::Stale};
   return Packet.Opens ? open(Packet, *Route, Now) : proceed(Packet, *Route, Now);
 }
 
+/// A target that answers a packet of long ago confuses a caller whose flow another target has.
+void packet_forwarder::notePause(instant Now) {
+  if (SweptAt != Never && Now - SweptAt >= PauseTime)
+    StaleUntil = Now + StaleTime;
+}
+
 target *packet_forwarder::place(const caller_packet &Packet, const active_route &Route,
                                 const target *Except, instant Now) {
   // All balancers choose the same service for a flow, whichever of them a repeat reaches.
@@ -130,6 +145,8 @@
 }
 
 void packet_forwarder::sweep(instant Now, const reset_function &Reset) {
+  notePause(Now);
+  SweptAt = Now;
   Flows.eraseIf([&](const flow_address &Address, const tracked_flow &Flow) {
     if (Flow.LastPacketAt + Routes.idleTime() < Now)
       return true;
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -53,6 +53,7 @@
   target *place(const caller_packet &Packet, const active_route &Route, const target *Except,
                 instant Now);
   const target *refusedBy(const caller_packet &Packet);
+  void notePause(instant Now);
 
   packet_forwarder_settings Settings;
   route_table &Routes;
@@ -64,6 +65,9 @@
   bool TargetsKnown = false;
   instant TargetsCurrentAt{};
   instant NextExpireAt{};
+  /// Never before the first sweep.
+  instant SweptAt = Never;
+  instant StaleUntil{};
 };
 
 } // namespace briarpoint
--- a/tests/forward/forwarding_to_two_targets_test.cpp
+++ b/tests/forward/forwarding_to_two_targets_test.cpp
@@ -34,6 +34,24 @@
   EXPECT_NE(open(7, 2).Target, Placed.Target);
 }
 
+// Guards against a second target for a flow that another balancer opened while this one stood still
+// (soak, seed 214): the caller took the token of the late answer, and its flow ended.
+TEST_F(forwarding_to_two_targets, dropsOpensThatWaitedWhileItStoodStill) {
+  for (const bool SweptFirst : {true, false}) {
+    SCOPED_TRACE(SweptFirst);
+    sweep();
+    Now += seconds(3);
+    if (SweptFirst)
+      sweep();
+    expectDecision(open(7), forward_action::Drop, forward_reason::Stale);
+    expectDecision(send(8, First.Token, 500), forward_action::Forward, forward_reason::Open);
+    sweep();
+    Now += milliseconds(200);
+    EXPECT_EQ(open(7, 1).Action, forward_action::Forward);
+    Now += seconds(1);
+  }
+}
+
 // Guards against a balancer that takes its own delay for a silent target: the repeats waited in its
 // queue behind the packets that they repeat.
 TEST_F(forwarding_to_two_targets, ignoresRepeatsThatArriveTogetherWithTheirOriginals) {
