Keep the index when entries return after an outage of the store

Cause: found by reading. Ruled out: removing and adding the one entry, which would need the other targets of its token. Change: the order of creation is looked at only if any two targets have the same token, which is so if there are fewer tokens than targets. Who owns a token stays as it was; a test checks it for an entry that is created anew.

--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -13,8 +13,11 @@
   if (!Known)
     Entry = std::make_unique<target>();
   const bool Restarted = Known && Entry->Registration.StartedMs != Registration.StartedMs;
-  const bool Moved = Known && (Entry->Registration.Service != Registration.Service ||
-                               Entry->Registration.Created != Registration.Created);
+  // The order of creation matters only if any two targets have the same token.
+  const bool TokensCollide = Tokens.size() < Targets.size();
+  const bool Moved =
+      Known && (Entry->Registration.Service != Registration.Service ||
+                (TokensCollide && Entry->Registration.Created != Registration.Created));
   Entry->Registration = Registration;
   Entry->Token = makeFlowToken(Registration.Number);
   Entry->Local = Registration.DataCentre == Settings.DataCentre;
--- a/tests/forward/target_registry_cost_test.cpp
+++ b/tests/forward/target_registry_cost_test.cpp
@@ -24,11 +24,27 @@
   /// Memory allocations that one further target costs a registry of \p Size targets.
   std::size_t allocationsOfOneMore(std::uint64_t Size) {
     target_registry Registry(makeSettings());
+    fill(Registry, Size);
+    return allocationsOf(Registry, registration("i-more", Size + 1));
+  }
+
+  /// Memory allocations that an entry costs that disappeared and was created anew.
+  std::size_t allocationsOfOneReturn(std::uint64_t Size) {
+    target_registry Registry(makeSettings());
+    fill(Registry, Size);
+    target_registration Returned = registration("i-1", 1);
+    Returned.Created = Returned.Revision;
+    return allocationsOf(Registry, Returned);
+  }
+
+private:
+  void fill(target_registry &Registry, std::uint64_t Size) {
     for (std::uint64_t Number = 1; Number <= Size; ++Number)
       Registry.put(registration("i-" + std::to_string(Number), Number), Now);
-    const target_registration More = registration("i-more", Size + 1);
+  }
+  std::size_t allocationsOf(target_registry &Registry, const target_registration &Registration) {
     const std::size_t Before = Allocations;
-    Registry.put(More, Now);
+    Registry.put(Registration, Now);
     return Allocations - Before;
   }
 };
@@ -39,5 +55,11 @@
   EXPECT_LE(allocationsOfOneMore(3000), allocationsOfOneMore(30) + 4);
 }
 
+// Guards against the same after a return of the store: entries that lapsed are created anew, so all
+// of them have another place in the order that decides about tokens.
+TEST_F(target_registry_cost, doesNotGrowWhenEntriesReturn) {
+  EXPECT_LE(allocationsOfOneReturn(3000), allocationsOfOneReturn(30) + 4);
+}
+
 } // namespace
 } // namespace briarpoint
--- a/tests/forward/target_registry_test.cpp
+++ b/tests/forward/target_registry_test.cpp
@@ -142,5 +142,18 @@
   }
 }
 
+// Guards against two targets that both own a token, or none, after the entry of one was created
+// anew: the other one is the earlier one then.
+TEST_F(targets_with_the_same_token, belongsToTheOtherOneOnceAnEntryIsCreatedAnew) {
+  target &Early = add("i-early", Numbers.first);
+  target &Late = add("i-late", Numbers.second);
+  target_registration Anew = registration("i-early", Numbers.first);
+  Anew.Created = Numbers.second + 1;
+  Targets.put(Anew, Now);
+  EXPECT_FALSE(Early.OwnsToken);
+  EXPECT_TRUE(Late.OwnsToken);
+  EXPECT_EQ(Targets.locate(makeFlowToken(Numbers.first)), &Late);
+}
+
 } // namespace
 } // namespace briarpoint
