Use one piece of code where the change had two

Cause: read over the whole change, found by reading. Ruled out: one list of calls for http_client and http_object_store, because the first doesn't tell an unsent request from an unanswered one; one shape for tables of log events and metrics, which are data.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -69,9 +69,13 @@
   transmit();
 }
 
-void caller::transmit() {
+void caller::send() {
   if (const std::optional<ipv4_endpoint> To = Environment.Route(Flow))
     Socket.send(*To, encode(Last));
+}
+
+void caller::transmit() {
+  send();
   Timer.set(FirstRepeat * (1 << Repeats));
 }
 
@@ -107,8 +111,7 @@
     Received = 1;
     // The end of the handshake.
     Last = {Acknowledge, Next, Received, Echo, Flow.Caller, Flow.Service, "", true};
-    if (const std::optional<ipv4_endpoint> To = Environment.Route(Flow))
-      Socket.send(*To, encode(Last));
+    send();
     Timer.set(milliseconds(Environment.Random.below(MaxPauseMs)));
     return;
   }
@@ -125,8 +128,7 @@
     State = state::Open;
   } else {
     Last = {Finish | Acknowledge, Next, Received, Echo, Flow.Caller, Flow.Service, "", true};
-    if (const std::optional<ipv4_endpoint> To = Environment.Route(Flow))
-      Socket.send(*To, encode(Last));
+    send();
     State = state::Idle;
   }
   Timer.set(milliseconds(Environment.Random.below(MaxPauseMs)));
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -46,6 +46,9 @@
   void act();
   void open();
   void request();
+  /// Sends the last packet (again).
+  void send();
+  /// The same, with a time for its repeat.
   void transmit();
   void receive(std::span<const std::byte> Datagram);
   void fail();
--- a/soak/datagram_socket.h
+++ b/soak/datagram_socket.h
@@ -2,13 +2,11 @@
 #define BRIARPOINT_SOAK_DATAGRAM_SOCKET_H
 
 #include "io/event_loop.h"
+#include "io/event_pointer.h"
 #include "io/file_descriptor.h"
 #include "net/ipv4_endpoint.h"
 
-#include <event2/event.h>
-
 #include <functional>
-#include <memory>
 #include <span>
 
 namespace briarpoint::soak {
@@ -25,13 +23,9 @@
 private:
   static void onReadable(int, short, void *Argument);
 
-  struct event_deleter {
-    void operator()(event *Event) const { event_free(Event); }
-  };
-
   file_descriptor Socket;
   handler Handler;
-  std::unique_ptr<event, event_deleter> Readable;
+  event_pointer Readable;
 };
 
 } // namespace briarpoint::soak
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -38,9 +38,6 @@
     // An end of a flow needs no answer.
     return {Packet.Ends ? forward_action::Drop : forward_action::Reset, forward_reason::NoRoute};
   }
-  notePause(Now);
-  if (Packet.Opens && Now < StaleUntil)
-    return {forward_action::Drop, forward_reason::Stale};
   return Packet.Opens ? open(Packet, *Route, Now) : proceed(Packet, *Route, Now);
 }
 
@@ -70,6 +67,10 @@
 
 forward_decision packet_forwarder::open(const caller_packet &Packet, const active_route &Route,
                                         instant Now) {
+  notePause(Now);
+  if (Now < StaleUntil)
+    return {forward_action::Drop, forward_reason::Stale};
+
   tracked_flow *Flow = Flows.find(Packet.Flow);
   // A flow has no target after a packet of it came with an unknown token.
   const bool Repeat = Flow != nullptr && Flow->Opening && Flow->Target != nullptr &&
--- a/src/forwarder/forwarder_log.cpp
+++ b/src/forwarder/forwarder_log.cpp
@@ -62,11 +62,19 @@
                                                {"service", Target.Registration.Service},
                                                {"repeats", std::to_string(Target.Health.repeats())},
                                                {"doubted", Doubted ? "yes" : "no"}});
-    } else if (!Suspected.empty() && Suspected.erase(Name) > 0) {
+    } else if (Suspected.erase(Name) > 0) {
       Log.write(log_event::TargetAnswered, {{"target", Name}});
     }
   });
   std::erase_if(Suspected, [&](const std::string &Name) { return !Targets.contains(Name); });
 }
 
+void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome) {
+  static constexpr std::array<std::string_view, CallOutcomeCount> Names{
+      "done", "history_gone", "refused", "unanswered", "malformed"};
+  Log.write(
+      InContact ? log_event::StoreRegained : log_event::StoreLost,
+      {{"kind", Kind}, {"outcome", std::string(Names.at(static_cast<std::size_t>(Outcome)))}});
+}
+
 } // namespace briarpoint
--- a/src/forwarder/forwarder_log.h
+++ b/src/forwarder/forwarder_log.h
@@ -6,6 +6,7 @@
 #include "forward/route_table.h"
 #include "forward/target_registry.h"
 #include "log/event_log.h"
+#include "store/object_api.h"
 
 #include <set>
 #include <string>
@@ -36,6 +37,9 @@
   std::set<std::string, std::less<>> Suspected;
 };
 
+/// Logs that contact with the store was lost or regained by the watch of a kind.
+void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome);
+
 } // namespace briarpoint
 
 #endif // BRIARPOINT_FORWARDER_FORWARDER_LOG_H
--- a/src/forwarder/registration_feed.cpp
+++ b/src/forwarder/registration_feed.cpp
@@ -1,6 +1,7 @@
 #include "forwarder/registration_feed.h"
 
 #include "base/findings_error.h"
+#include "forwarder/forwarder_log.h"
 
 namespace briarpoint {
 
@@ -73,12 +74,4 @@
   logContact(Log, Format.registrationKind(), InContact, Outcome);
 }
 
-void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome) {
-  static constexpr std::array<std::string_view, CallOutcomeCount> Names{
-      "done", "history_gone", "refused", "unanswered", "malformed"};
-  Log.write(
-      InContact ? log_event::StoreRegained : log_event::StoreLost,
-      {{"kind", Kind}, {"outcome", std::string(Names.at(static_cast<std::size_t>(Outcome)))}});
-}
-
 } // namespace briarpoint
--- a/src/forwarder/registration_feed.h
+++ b/src/forwarder/registration_feed.h
@@ -45,9 +45,6 @@
   instant CompleteAt = Never;
 };
 
-/// Logs that contact with the store was lost or regained by the watch of a kind.
-void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome);
-
 } // namespace briarpoint
 
 #endif // BRIARPOINT_FORWARDER_REGISTRATION_FEED_H
--- a/src/forwarder/route_feed.cpp
+++ b/src/forwarder/route_feed.cpp
@@ -1,7 +1,7 @@
 #include "forwarder/route_feed.h"
 
 #include "base/findings_error.h"
-#include "forwarder/registration_feed.h"
+#include "forwarder/forwarder_log.h"
 
 namespace briarpoint {
 
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "io/http_connection.h"
 
+#include "io/event_pointer.h"
 #include "io/timeval.h"
 
 #include <event2/buffer.h>
@@ -21,11 +22,6 @@
 
 namespace {
 
-struct event_deleter {
-  void operator()(event *Event) const { event_free(Event); }
-};
-using event_pointer = std::unique_ptr<event, event_deleter>;
-
 struct connection_deleter {
   void operator()(evhttp_connection *Connection) const { evhttp_connection_free(Connection); }
 };
--- a/src/io/timer.cpp
+++ b/src/io/timer.cpp
@@ -2,8 +2,6 @@
 
 #include "io/timeval.h"
 
-#include <event2/event.h>
-
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -16,13 +14,11 @@
     throw std::runtime_error("event_new failed");
 }
 
-timer::~timer() { event_free(Event); }
-
 void timer::onTime(int, short, void *Argument) { static_cast<timer *>(Argument)->Handler(); }
 
 void timer::set(duration Delay) {
   const timeval Time = toTimeval(std::max(Delay, duration::zero()));
-  event_add(Event, &Time);
+  event_add(Event.get(), &Time);
 }
 
 } // namespace briarpoint
--- a/src/io/timer.h
+++ b/src/io/timer.h
@@ -2,6 +2,7 @@
 #define BRIARPOINT_IO_TIMER_H
 
 #include "io/event_loop.h"
+#include "io/event_pointer.h"
 
 #include <functional>
 
@@ -12,7 +13,6 @@
 public:
   /// \p Loop must outlive the timer.
   timer(event_loop &Loop, std::function<void()> Handler);
-  ~timer();
   timer(const timer &) = delete;
   timer &operator=(const timer &) = delete;
 
@@ -23,7 +23,7 @@
   static void onTime(int, short, void *Argument);
 
   std::function<void()> Handler;
-  event *Event;
+  event_pointer Event;
 };
 
 } // namespace briarpoint
