Log each call to the store, and count how calls end

A forwarder that started while the store dropped its history had a version from long ago in force for ten seconds, and wrote nothing meanwhile. The logs couldn't tell whether its watch was asked from an old revision (hypothesis 1), or a list claimed a revision that its contents didn't have (hypothesis 2), and no metric showed that the forwarder was behind.

Added: the log events store_asked and store_answered with the type of the call, the revision it was asked from, its outcome and the revision of the answer; the metrics store_answers_total by outcome, store_revision and store_answer_age_seconds.

The list's revision is right, so hypothesis 2 is excluded; the watch waits at a revision whose history was dropped meanwhile, and is refused only at the next change of its kind.

Test: watching_listed_objects.tellsWhatItAskedAndHowThatEnded.

--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "forwarder/packet_socket.h"
 #include "forwarder/registration_feed.h"
 #include "forwarder/route_feed.h"
+#include "forwarder/store_call_log.h"
 #include "io/http_get_server.h"
 
 #include <algorithm>
@@ -96,6 +97,8 @@
   packet_socket Socket;
   registration_feed Registrations;
   route_feed Configuration;
+  store_call_log RegistrationCalls;
+  store_call_log ConfigurationCalls;
   loop_scheduler RegistrationScheduler;
   loop_scheduler ConfigurationScheduler;
   object_watcher RegistrationWatcher;
@@ -120,14 +123,17 @@
                       [this] { receiveWhenReady(); }),
         Configuration(Platform.Objects, Routes, Clock, Log, Counters,
                       [this] { receiveWhenReady(); }),
+        RegistrationCalls(Platform.Objects.registrationKind(), Log, Clock),
+        ConfigurationCalls(Platform.Objects.configurationKind(), Log, Clock),
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
         RegistrationWatcher(Platform.Objects.registrationKind(),
                             watchSettings(AllSettings.DrainTime, RegistrationGather),
-                            Platform.RegistrationApi, Registrations, RegistrationScheduler, Random),
+                            Platform.RegistrationApi, Registrations, RegistrationCalls,
+                            RegistrationScheduler, Random),
         ConfigurationWatcher(Platform.Objects.configurationKind(),
                              watchSettings(AllSettings.ConfigurationTime, ConfigurationGather),
-                             Platform.ConfigurationApi, Configuration, ConfigurationScheduler,
-                             Random),
+                             Platform.ConfigurationApi, Configuration, ConfigurationCalls,
+                             ConfigurationScheduler, Random),
         ReadinessServer(Loop, AllSettings.Readiness,
                         [this](const std::string &Path) { return answerReadiness(Path); }),
         OperatorServer(Loop, AllSettings.Operator,
--- a/src/forwarder/forwarder_log.cpp
+++ b/src/forwarder/forwarder_log.cpp
@@ -70,11 +70,8 @@
 }
 
 void logContact(event_log &Log, const std::string &Kind, bool InContact, call_outcome Outcome) {
-  static constexpr std::array<std::string_view, CallOutcomeCount> Names{
-      "done", "history_gone", "refused", "unanswered", "malformed"};
-  Log.write(
-      InContact ? log_event::StoreRegained : log_event::StoreLost,
-      {{"kind", Kind}, {"outcome", std::string(Names.at(static_cast<std::size_t>(Outcome)))}});
+  Log.write(InContact ? log_event::StoreRegained : log_event::StoreLost,
+            {{"kind", Kind}, {"outcome", std::string(toString(Outcome))}});
 }
 
 } // namespace briarpoint
--- a/src/forwarder/forwarder_status.cpp
+++ b/src/forwarder/forwarder_status.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <limits>
 #include <sstream>
 
 namespace briarpoint {
@@ -54,6 +55,28 @@
   Page.counter(Name, Help, {{"kind", Kind}, {"call", "list"}}, Counters.Lists);
   Page.counter(Name, Help, {{"kind", Kind}, {"call", "stale_list"}}, Counters.StaleLists);
   Page.counter(Name, Help, {{"kind", Kind}, {"call", "watch"}}, Counters.Watches);
+  for (std::size_t Outcome = 0; Outcome < CallOutcomeCount; ++Outcome)
+    Page.counter(
+        "briarpoint_forwarder_store_answers_total", "Ended calls to the store.",
+        {{"kind", Kind}, {"outcome", std::string(toString(static_cast<call_outcome>(Outcome)))}},
+        Counters.Outcomes[Outcome]);
+}
+
+/// Time since the store's last answer in seconds; infinite before the first one.
+double answerAge(const object_watcher &Watcher, instant Now) {
+  if (Watcher.answeredAt() == instant{})
+    return std::numeric_limits<double>::infinity();
+  return std::chrono::duration<double>(Now - Watcher.answeredAt()).count();
+}
+
+void addWatch(metrics_page &Page, const std::string &Kind, const object_watcher &Watcher,
+              instant Now) {
+  addCalls(Page, Kind, Watcher.counters());
+  Page.gauge("briarpoint_forwarder_store_revision",
+             "Revision of the store up to which changes are known.", {{"kind", Kind}},
+             static_cast<double>(Watcher.revision()));
+  Page.gauge("briarpoint_forwarder_store_answer_age_seconds", "Time since the store's last answer.",
+             {{"kind", Kind}}, answerAge(Watcher, Now));
 }
 
 nlohmann::json describeTarget(const target &Target, instant Now) {
@@ -92,8 +115,8 @@
   Page.counter("briarpoint_forwarder_log_lines_left_out_total",
                "Log lines over the rate, or unread.", {},
                Status.SuppressedLines + Status.LinesNotWritten);
-  addCalls(Page, "registration", Status.RegistrationWatcher.counters());
-  addCalls(Page, "configuration", Status.ConfigurationWatcher.counters());
+  addWatch(Page, "registration", Status.RegistrationWatcher, Status.Now);
+  addWatch(Page, "configuration", Status.ConfigurationWatcher, Status.Now);
   Page.gauge("briarpoint_forwarder_ready", "1 if callers' packets are forwarded.", {},
              Status.Ready ? 1 : 0);
   Page.gauge("briarpoint_forwarder_flows", "Flows that are followed.", {},
--- /dev/null
+++ b/src/forwarder/store_call_log.cpp
@@ -0,0 +1,38 @@
+#include "forwarder/store_call_log.h"
+
+namespace briarpoint {
+
+namespace {
+
+std::string milliseconds(duration Time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+} // namespace
+
+void store_call_log::onAsked(const store_call &Call) {
+  Log.write(log_event::StoreAsked, {{"kind", Kind},
+                                    {"call", std::string(toString(Call.Type))},
+                                    {"revision", std::to_string(Call.Revision)},
+                                    {"wait_ms", milliseconds(Call.WaitsUntil - Call.AskedAt)}});
+}
+
+void store_call_log::onAnswered(const store_call &Call, call_outcome Outcome,
+                                std::uint64_t Revision, std::size_t Objects) {
+  writeEnd(Call, toString(Outcome), Revision, Objects);
+}
+
+void store_call_log::onDropped(const store_call &Call) { writeEnd(Call, "dropped", 0, 0); }
+
+void store_call_log::writeEnd(const store_call &Call, std::string_view Outcome,
+                              std::uint64_t Revision, std::size_t Objects) {
+  Log.write(log_event::StoreAnswered, {{"kind", Kind},
+                                       {"call", std::string(toString(Call.Type))},
+                                       {"asked_revision", std::to_string(Call.Revision)},
+                                       {"after_ms", milliseconds(Clock.now() - Call.AskedAt)},
+                                       {"outcome", std::string(Outcome)},
+                                       {"revision", std::to_string(Revision)},
+                                       {"objects", std::to_string(Objects)}});
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/src/forwarder/store_call_log.h
@@ -0,0 +1,36 @@
+#ifndef BRIARPOINT_FORWARDER_STORE_CALL_LOG_H
+#define BRIARPOINT_FORWARDER_STORE_CALL_LOG_H
+
+#include "io/time_source.h"
+#include "log/event_log.h"
+#include "store/call_listener.h"
+
+#include <string>
+#include <string_view>
+
+namespace briarpoint {
+
+/// Writes what the forwarder asks the store about one kind of objects, and what it is told.
+class store_call_log final : public call_listener {
+public:
+  /// \p Log and \p Clock must outlive the object.
+  store_call_log(std::string Kind, event_log &Log, time_source &Clock)
+      : Kind(std::move(Kind)), Log(Log), Clock(Clock) {}
+
+  void onAsked(const store_call &Call) override;
+  void onAnswered(const store_call &Call, call_outcome Outcome, std::uint64_t Revision,
+                  std::size_t Objects) override;
+  void onDropped(const store_call &Call) override;
+
+private:
+  void writeEnd(const store_call &Call, std::string_view Outcome, std::uint64_t Revision,
+                std::size_t Objects);
+
+  std::string Kind;
+  event_log &Log;
+  time_source &Clock;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_STORE_CALL_LOG_H
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -61,6 +61,8 @@
     log_definition{log_event::StoreLost, "store_lost", Warning,
                    "a call to the store failed; the last known state stays in force"},
     log_definition{log_event::StoreRegained, "store_regained", Info, "the store answers again"},
+    log_definition{log_event::StoreAsked, "store_asked", Info, "a call to the store was made"},
+    log_definition{log_event::StoreAnswered, "store_answered", Info, "a call to the store ended"},
     log_definition{log_event::RegistrationRefused, "registration_refused", Warning,
                    "entry of a target was refused; the others stay in use"},
     log_definition{log_event::RegistrationChanged, "registration_changed", Info,
--- a/src/log/log_event.h
+++ b/src/log/log_event.h
@@ -41,6 +41,8 @@
   RoutesRefused = 2003,
   StoreLost = 2004,
   StoreRegained = 2005,
+  StoreAsked = 2006,
+  StoreAnswered = 2007,
   RegistrationRefused = 2101,
   RegistrationChanged = 2102,
   TargetSuspected = 2103,
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -4,9 +4,11 @@
 #include "base/instant.h"
 #include "config/document_value.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace briarpoint {
@@ -41,6 +43,13 @@
 
 inline constexpr std::size_t CallOutcomeCount = 5;
 
+/// Returns the name for logs and metrics.
+constexpr std::string_view toString(call_outcome Outcome) {
+  constexpr std::array<std::string_view, CallOutcomeCount> Names{"done", "history_gone", "refused",
+                                                                 "unanswered", "malformed"};
+  return Names.at(static_cast<std::size_t>(Outcome));
+}
+
 /// How old the data of a read may be.
 enum class freshness : std::uint8_t {
   Linearizable,
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -6,10 +6,10 @@
 namespace briarpoint {
 
 object_watcher::object_watcher(std::string Kind, const object_watcher_settings &Settings,
-                               object_api &Api, object_listener &Listener, scheduler &Scheduler,
-                               random_source &Random)
-    : Kind(std::move(Kind)), Settings(Settings), Api(Api), Listener(Listener), Scheduler(Scheduler),
-      Random(Random) {}
+                               object_api &Api, object_listener &Listener, call_listener &Calls,
+                               scheduler &Scheduler, random_source &Random)
+    : Kind(std::move(Kind)), Settings(Settings), Api(Api), Listener(Listener), Calls(Calls),
+      Scheduler(Scheduler), Random(Random) {}
 
 void object_watcher::start() { startList(); }
 
@@ -29,11 +29,20 @@
     return;
   NextRefreshAt = Now + Settings.RefreshInterval;
   Api.cancel();
+  Calls.onDropped(Call);
   startWatch(Settings.ProbeWait);
 }
 
-void object_watcher::startList() {
+void object_watcher::noteAsked(store_call_type Type, std::uint64_t FromRevision, duration Wait) {
+  const instant Now = Scheduler.now();
   Calling = true;
+  Call = {Type, FromRevision, Now, Now + Wait};
+  Calls.onAsked(Call);
+}
+
+void object_watcher::startList() {
+  noteAsked(ListFreshness == freshness::Stale ? store_call_type::StaleList : store_call_type::List,
+            0, duration::zero());
   ++(ListFreshness == freshness::Stale ? Counters.StaleLists : Counters.Lists);
   const std::string After = Pages.empty() ? "" : Pages.back().Name;
   Api.list(Kind, After, ListFreshness,
@@ -42,15 +51,16 @@
 
 void object_watcher::startWatch(duration Wait) {
   ++Counters.Watches;
-  Calling = true;
   const auto Jitter =
       static_cast<duration::rep>(Random.below(static_cast<std::uint64_t>(Wait.count() / 10 + 1)));
+  noteAsked(store_call_type::Watch, Revision, Wait - duration(Jitter));
   Api.watch(Kind, Revision, Wait - duration(Jitter),
             [this](const watch_answer &Answer) { finishWatch(Answer); });
 }
 
 void object_watcher::finishList(list_answer Answer) {
   Calling = false;
+  Calls.onAnswered(Call, Answer.Outcome, Answer.Revision, Answer.Objects.size());
   // The pages read so far stay valid: the watch starts from the revision of the first one.
   if (Answer.Outcome != call_outcome::Done) {
     fail(Answer.Outcome);
@@ -80,6 +90,7 @@
 
 void object_watcher::finishWatch(const watch_answer &Answer) {
   Calling = false;
+  Calls.onAnswered(Call, Answer.Outcome, Answer.Revision, Answer.Changes.size());
   if (Answer.Outcome == call_outcome::HistoryGone) {
     ++Counters.Outcomes[static_cast<std::size_t>(Answer.Outcome)];
     NextKind = call_kind::List;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -3,6 +3,7 @@
 
 #include "base/random_source.h"
 #include "core/request/backoff.h"
+#include "store/call_listener.h"
 #include "store/object_listener.h"
 #include "store/scheduler.h"
 #include "store/watch_counters.h"
@@ -39,7 +40,8 @@
 public:
   /// Everything that is referred to must outlive the object.
   object_watcher(std::string Kind, const object_watcher_settings &Settings, object_api &Api,
-                 object_listener &Listener, scheduler &Scheduler, random_source &Random);
+                 object_listener &Listener, call_listener &Calls, scheduler &Scheduler,
+                 random_source &Random);
 
   /// Makes the first call.
   void start();
@@ -59,6 +61,7 @@
 private:
   enum class call_kind : std::uint8_t { List, Watch };
 
+  void noteAsked(store_call_type Type, std::uint64_t FromRevision, duration Wait);
   void startList();
   void startWatch(duration Wait);
   void finishList(list_answer Answer);
@@ -71,6 +74,7 @@
   object_watcher_settings Settings;
   object_api &Api;
   object_listener &Listener;
+  call_listener &Calls;
   scheduler &Scheduler;
   random_source &Random;
 
@@ -82,6 +86,8 @@
   std::uint64_t Revision = 0;
   std::uint32_t Failures = 0;
   bool Calling = false;
+  /// The call in progress, or the last one.
+  store_call Call;
   instant NextRefreshAt{};
   instant AnsweredAt{};
   watch_counters Counters;
--- /dev/null
+++ b/src/store/store_call.h
@@ -0,0 +1,42 @@
+#ifndef BRIARPOINT_STORE_STORE_CALL_H
+#define BRIARPOINT_STORE_STORE_CALL_H
+
+#include "base/instant.h"
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace briarpoint {
+
+/// What an object_watcher asks the store.
+enum class store_call_type : std::uint8_t { List, StaleList, Watch };
+
+/// Returns the name for logs and metrics.
+constexpr std::string_view toString(store_call_type Type) {
+  switch (Type) {
+  case store_call_type::List:
+    return "list";
+  case store_call_type::StaleList:
+    return "stale_list";
+  case store_call_type::Watch:
+    break;
+  }
+  return "watch";
+}
+
+/// A call of an object_watcher to the store.
+struct store_call {
+  store_call_type Type = store_call_type::List;
+  /// The revision after which a watch reports changes; 0 for a list.
+  std::uint64_t Revision = 0;
+  instant AskedAt{};
+  /// When a watch ends without changes; AskedAt for a list.
+  instant WaitsUntil{};
+
+  auto operator<=>(const store_call &) const = default;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_STORE_STORE_CALL_H
--- a/tests/forwarder/operations_page_test.cpp
+++ b/tests/forwarder/operations_page_test.cpp
@@ -28,6 +28,13 @@
   void onContact(bool, call_outcome) override {}
 };
 
+class idle_calls final : public call_listener {
+public:
+  void onAsked(const store_call &) override {}
+  void onAnswered(const store_call &, call_outcome, std::uint64_t, std::size_t) override {}
+  void onDropped(const store_call &) override {}
+};
+
 class idle_scheduler final : public scheduler {
 public:
   instant now() override { return {}; }
@@ -60,9 +67,10 @@
   target_registry Targets{target_registry_settings()};
   idle_api Api;
   idle_listener Listener;
+  idle_calls Calls;
   idle_scheduler Scheduler;
   seeded_random Random{1};
-  object_watcher Watcher{"k", {}, Api, Listener, Scheduler, Random};
+  object_watcher Watcher{"k", {}, Api, Listener, Calls, Scheduler, Random};
 };
 
 // Guards against metrics that the page doesn't explain, and page entries without a metric.
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -80,6 +80,24 @@
   std::vector<std::string> Events;
 };
 
+/// Writes down what was asked, and how the calls ended.
+class call_recorder final : public call_listener {
+public:
+  void onAsked(const store_call &Call) override {
+    Lines.push_back("asked " + std::string(toString(Call.Type)) + " from " +
+                    std::to_string(Call.Revision));
+  }
+  void onAnswered(const store_call &Call, call_outcome Outcome, std::uint64_t Revision,
+                  std::size_t Objects) override {
+    Lines.push_back(std::string(toString(Outcome)) + " after " + std::to_string(Call.Revision) +
+                    ": " + std::to_string(Objects) + " at " + std::to_string(Revision));
+  }
+  void onDropped(const store_call &Call) override {
+    Lines.push_back("dropped " + std::to_string(Call.Revision));
+  }
+  std::vector<std::string> Lines;
+};
+
 stored_object object(const std::string &Name) { return {Name, 1, 1, {}}; }
 
 class watching_objects : public testing::Test {
@@ -97,8 +115,9 @@
   fake_api Api;
   fake_scheduler Scheduler;
   recorder Listener;
+  call_recorder Calls;
   seeded_random Random{20261204};
-  object_watcher Watcher{"things", {}, Api, Listener, Scheduler, Random};
+  object_watcher Watcher{"things", {}, Api, Listener, Calls, Scheduler, Random};
 };
 
 // Guards against changes between the pages of a list that no watch reports.
@@ -240,5 +259,18 @@
   EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Refused)], 1U);
 }
 
+// Guards against a watch that waits for a change it will never report, without a line that tells
+// from which revision it was asked (incident DRAIN).
+TEST_F(watching_listed_objects, tellsWhatItAskedAndHowThatEnded) {
+  answerWatch(0, 12);
+  Scheduler.runNext();
+  Watcher.refresh();
+  failWatch(call_outcome::Refused);
+  EXPECT_EQ(Calls.Lines, (std::vector<std::string>{
+                             "asked stale_list from 0", "done after 0: 1 at 10",
+                             "asked watch from 10", "done after 10: 0 at 12", "asked watch from 12",
+                             "dropped 12", "asked watch from 12", "refused after 12: 0 at 0"}));
+}
+
 } // namespace
 } // namespace briarpoint
