Add failing tests of what a forwarder doesn't learn from the store

They demand what the platform states: a change is known 3 s after the store has it, and 4 s after all trouble is over.

No logic is changed.

--- /dev/null
+++ b/tests/store/simulated_store.h
@@ -0,0 +1,148 @@
+#ifndef BRIARPOINT_TESTS_STORE_SIMULATED_STORE_H
+#define BRIARPOINT_TESTS_STORE_SIMULATED_STORE_H
+
+#include "store/object_api.h"
+#include "store/scheduler.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarpoint {
+
+/// Simulated time with actions that run when it has come.
+class simulated_clock {
+public:
+  instant now() const { return Now; }
+  void at(instant Time, std::function<void()> Action) { Actions.emplace(Time, std::move(Action)); }
+  void after(duration Delay, std::function<void()> Action) { at(Now + Delay, std::move(Action)); }
+  /// Runs everything that is due until \p Time.
+  void runUntil(instant Time);
+
+private:
+  instant Now{std::chrono::seconds(100)};
+  std::multimap<instant, std::function<void()>> Actions;
+};
+
+class simulated_scheduler final : public scheduler {
+public:
+  explicit simulated_scheduler(simulated_clock &Clock) : Clock(Clock) {}
+  instant now() override { return Clock.now(); }
+  void runAt(instant Time, std::function<void()> NewAction) override;
+
+private:
+  simulated_clock &Clock;
+  std::uint64_t Current = 0;
+};
+
+class simulated_connection;
+
+/// The platform's store with its kinds of trouble. Each kind of objects has one object, and a write
+/// changes it.
+class simulated_store {
+public:
+  explicit simulated_store(simulated_clock &Clock) : Clock(Clock) {}
+
+  /// Changes the object of a kind. Watches that wait for it are answered.
+  void write(const std::string &Kind);
+  /// Revision of the last change of a kind.
+  std::uint64_t lastChange(const std::string &Kind) const;
+
+  /// Connections stay open, but calls that arrive meanwhile are never answered.
+  void setSilent(bool IsSilent) { Silent = IsSilent; }
+  void setRefusing(bool IsRefusing) { Refusing = IsRefusing; }
+  /// Stale reads are this far behind.
+  void setStaleLag(duration Lag) { StaleLag = Lag; }
+
+  /// The three phases in which the platform's store drops its history: watches report nothing;
+  /// those that wait are cut; what was written before is gone. A watch that was asked between the
+  /// last two goes on waiting and is refused at the next change of its kind.
+  void muteWatches();
+  void cutWatches();
+  void dropHistory();
+
+private:
+  friend class simulated_connection;
+
+  struct change {
+    std::string Kind;
+    std::uint64_t Revision = 0;
+    instant At{};
+  };
+  struct waiting_watch {
+    simulated_connection *Connection = nullptr;
+    std::uint64_t Call = 0;
+    std::string Kind;
+    std::uint64_t Revision = 0;
+  };
+
+  std::vector<object_change> changesAfter(const std::string &Kind, std::uint64_t Revision) const;
+  list_answer list(const std::string &Kind, freshness Freshness) const;
+  /// Answers at once or keeps the watch waiting.
+  void receiveWatch(const waiting_watch &Watch);
+  void answerWatch(const waiting_watch &Watch) const;
+  void endWait(const simulated_connection &Connection, std::uint64_t Call);
+
+  simulated_clock &Clock;
+  std::vector<change> Changes;
+  std::vector<waiting_watch> Watches;
+  std::uint64_t Revision = 1;
+  std::uint64_t HistoryBegin = 0;
+  /// What watches know while they are muted.
+  std::uint64_t MutedRevision = 0;
+  bool Muted = false;
+  bool Silent = false;
+  bool Refusing = false;
+  duration StaleLag{};
+};
+
+/// One connection to the store, over a path that may be cut or go silent.
+class simulated_connection final : public object_api {
+public:
+  /// One way between the two.
+  static constexpr duration Latency = std::chrono::milliseconds(5);
+  /// Limits of the real connection: for connecting, for an answer that is due at once, and for a
+  /// peer that doesn't acknowledge.
+  static constexpr duration ConnectTime = std::chrono::milliseconds(1000);
+  static constexpr duration CallTime = std::chrono::milliseconds(1500);
+  static constexpr duration DeadPeerTime = std::chrono::milliseconds(3000);
+
+  simulated_connection(simulated_clock &Clock, simulated_store &Store)
+      : Clock(Clock), Store(Store) {}
+
+  /// The path is cut; a connection that is open ends if that lasts for DeadPeerTime.
+  void setCut(bool IsCut);
+  /// The open connection carries nothing any more; a new one works.
+  void silence();
+
+  void list(const std::string &Kind, const std::string &After, freshness Freshness,
+            std::function<void(list_answer)> Done) override;
+  void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
+             std::function<void(watch_answer)> Done) override;
+  void cancel() override;
+
+private:
+  friend class simulated_store;
+
+  /// Starts a call: runs \p Arrive when it reaches the store, and \p Fail after \p Limit.
+  void start(duration Limit, std::function<void()> Arrive, std::function<void()> Fail);
+  void fail(std::uint64_t Call);
+  /// Delivers an answer, unless the call ended before.
+  void deliver(std::uint64_t Call, std::function<void()> Answer);
+  void deliverWatch(std::uint64_t Call, watch_answer Answer);
+
+  simulated_clock &Clock;
+  simulated_store &Store;
+  /// Number of the call in progress; 0 if there is none.
+  std::uint64_t Current = 0;
+  std::uint64_t Calls = 0;
+  std::function<void()> Fail;
+  std::function<void(watch_answer)> WatchDone;
+  bool Connected = false;
+  bool Cut = false;
+  bool Silent = false;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_TESTS_STORE_SIMULATED_STORE_H
--- /dev/null
+++ b/tests/store/simulated_store_support.cpp
@@ -0,0 +1,200 @@
+#include "simulated_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarpoint {
+
+void simulated_clock::runUntil(instant Time) {
+  while (!Actions.empty() && Actions.begin()->first <= Time) {
+    const auto First = Actions.extract(Actions.begin());
+    Now = std::max(Now, First.key());
+    First.mapped()();
+  }
+  Now = Time;
+}
+
+void simulated_scheduler::runAt(instant Time, std::function<void()> NewAction) {
+  const std::uint64_t Mine = ++Current;
+  Clock.at(Time, [this, Mine, Action = std::move(NewAction)] {
+    if (Mine == Current)
+      Action();
+  });
+}
+
+void simulated_store::write(const std::string &Kind) {
+  Changes.push_back({Kind, ++Revision, Clock.now()});
+  if (Muted)
+    return;
+  std::erase_if(Watches, [&](const waiting_watch &Watch) {
+    if (Watch.Kind != Kind)
+      return false;
+    answerWatch(Watch);
+    return true;
+  });
+}
+
+std::uint64_t simulated_store::lastChange(const std::string &Kind) const {
+  std::uint64_t Last = 0;
+  for (const change &Change : Changes)
+    if (Change.Kind == Kind)
+      Last = Change.Revision;
+  return Last;
+}
+
+void simulated_store::muteWatches() {
+  Muted = true;
+  MutedRevision = Revision;
+}
+
+void simulated_store::cutWatches() {
+  for (const waiting_watch &Watch : std::exchange(Watches, {}))
+    Clock.after(simulated_connection::Latency, [Watch] { Watch.Connection->fail(Watch.Call); });
+}
+
+void simulated_store::dropHistory() {
+  Muted = false;
+  HistoryBegin = Revision;
+}
+
+std::vector<object_change> simulated_store::changesAfter(const std::string &Kind,
+                                                         std::uint64_t After) const {
+  std::vector<object_change> Result;
+  for (const change &Change : Changes)
+    if (Change.Kind == Kind && Change.Revision > After)
+      Result.push_back({{"x", 1, Change.Revision, {}}, false});
+  return Result;
+}
+
+list_answer simulated_store::list(const std::string &Kind, freshness Freshness) const {
+  const instant AsOf = Clock.now() - (Freshness == freshness::Stale ? StaleLag : duration::zero());
+  list_answer Result;
+  Result.Outcome = call_outcome::Done;
+  Result.Revision = 1;
+  for (const change &Change : Changes) {
+    if (Change.At > AsOf)
+      break;
+    Result.Revision = Change.Revision;
+    if (Change.Kind == Kind)
+      Result.Objects = {{"x", 1, Change.Revision, {}}};
+  }
+  return Result;
+}
+
+void simulated_store::receiveWatch(const waiting_watch &Watch) {
+  const bool Gone = Watch.Revision < HistoryBegin;
+  if (Gone || (!Muted && !changesAfter(Watch.Kind, Watch.Revision).empty()))
+    answerWatch(Watch);
+  else
+    Watches.push_back(Watch);
+}
+
+void simulated_store::answerWatch(const waiting_watch &Watch) const {
+  if (Watch.Revision < HistoryBegin)
+    Watch.Connection->deliverWatch(Watch.Call, {call_outcome::HistoryGone, {}, 0});
+  else
+    Watch.Connection->deliverWatch(
+        Watch.Call, {call_outcome::Done, changesAfter(Watch.Kind, Watch.Revision), Revision});
+}
+
+void simulated_store::endWait(const simulated_connection &Connection, std::uint64_t Call) {
+  std::erase_if(Watches, [&](const waiting_watch &Watch) {
+    if (Watch.Connection != &Connection || Watch.Call != Call)
+      return false;
+    const std::uint64_t Known = Muted ? std::max(MutedRevision, Watch.Revision) : Revision;
+    Watch.Connection->deliverWatch(Call, {call_outcome::Done, {}, Known});
+    return true;
+  });
+}
+
+void simulated_connection::setCut(bool IsCut) {
+  Cut = IsCut;
+  if (!Cut)
+    return;
+  Clock.after(DeadPeerTime, [this, Call = Current] {
+    if (!Cut)
+      return;
+    Connected = false;
+    fail(Call);
+  });
+}
+
+void simulated_connection::silence() {
+  if (!Connected)
+    return;
+  Silent = true;
+  Clock.after(DeadPeerTime, [this, Call = Current] { fail(Call); });
+}
+
+void simulated_connection::start(duration Limit, std::function<void()> Arrive,
+                                 std::function<void()> NewFail) {
+  const std::uint64_t Call = ++Calls;
+  Current = Call;
+  Fail = std::move(NewFail);
+  const bool Opens = !Connected;
+  Clock.after(Limit, [this, Call] { fail(Call); });
+  if (Silent || Cut) {
+    Clock.after(Opens ? ConnectTime : DeadPeerTime, [this, Call] { fail(Call); });
+    return;
+  }
+  Connected = true;
+  Clock.after(Opens ? 3 * Latency : Latency, [this, Call, Arrive = std::move(Arrive)] {
+    if (Call != Current || Store.Silent || Cut)
+      return;
+    if (Store.Refusing)
+      deliver(Call, [this] { std::exchange(Fail, nullptr)(); });
+    else
+      Arrive();
+  });
+}
+
+void simulated_connection::fail(std::uint64_t Call) {
+  if (Call != Current || Current == 0)
+    return;
+  cancel();
+  std::exchange(Fail, nullptr)();
+}
+
+void simulated_connection::deliver(std::uint64_t Call, std::function<void()> Answer) {
+  Clock.after(Latency, [this, Call, Answer = std::move(Answer)] {
+    if (Call != Current || Silent || Cut)
+      return;
+    Current = 0;
+    Answer();
+  });
+}
+
+void simulated_connection::deliverWatch(std::uint64_t Call, watch_answer Answer) {
+  deliver(Call, [this, Answer = std::move(Answer)] { std::exchange(WatchDone, nullptr)(Answer); });
+}
+
+void simulated_connection::list(const std::string &Kind, const std::string &, freshness Freshness,
+                                std::function<void(list_answer)> Done) {
+  start(
+      CallTime,
+      [this, Kind, Freshness, Done] {
+        deliver(Current, [Answer = Store.list(Kind, Freshness), Done] { Done(Answer); });
+      },
+      [Done] { Done({}); });
+}
+
+void simulated_connection::watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
+                                 std::function<void(watch_answer)> Done) {
+  WatchDone = Done;
+  start(
+      CallTime + Wait,
+      [this, Kind, Revision, Wait] {
+        const std::uint64_t Call = Current;
+        Store.receiveWatch({this, Call, Kind, Revision});
+        Clock.after(Wait, [this, Call] { Store.endWait(*this, Call); });
+      },
+      [Done] { Done({}); });
+}
+
+void simulated_connection::cancel() {
+  Current = 0;
+  Connected = false;
+  Silent = false;
+}
+
+} // namespace briarpoint
--- /dev/null
+++ b/tests/store/view_of_changes_test.cpp
@@ -0,0 +1,254 @@
+#include "base/random_source.h"
+#include "simulated_store.h"
+#include "store/object_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace briarpoint {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Bounds that the platform states: a change is known this long after the store has it, and this
+/// long after all trouble is over.
+constexpr duration ChangeTime = seconds(3);
+constexpr duration ContactTime = seconds(4);
+
+/// Keeps the revision of the last change that was reported.
+class view final : public object_listener {
+public:
+  void onList(const std::vector<stored_object> &Objects, std::uint64_t) override {
+    for (const stored_object &Object : Objects)
+      Known = Object.Revision;
+  }
+  void onChanges(const std::vector<object_change> &Changes, std::uint64_t) override {
+    for (const object_change &Change : Changes)
+      Known = Change.Object.Revision;
+  }
+  void onContact(bool, call_outcome) override {}
+  std::uint64_t Known = 0;
+};
+
+class unheard_calls final : public call_listener {
+public:
+  void onAsked(const store_call &) override {}
+  void onAnswered(const store_call &, call_outcome, std::uint64_t, std::size_t) override {}
+  void onDropped(const store_call &) override {}
+};
+
+/// Makes every pause as long as it may be.
+class longest_pauses final : public random_source {
+public:
+  std::uint64_t next() override { return ~std::uint64_t{0}; }
+};
+
+object_watcher_settings watcherSettings(duration Gather) {
+  object_watcher_settings Result;
+  Result.Gather = Gather;
+  return Result;
+}
+
+/// A forwarder's two watchers, each with its own connection.
+class watching_process {
+public:
+  watching_process(simulated_clock &Clock, simulated_store &Store, random_source &Random)
+      : Targets(Clock, Store, "servers", milliseconds(1200), Random),
+        Routes(Clock, Store, "config", milliseconds(300), Random) {
+    Targets.Watcher.start();
+    Routes.Watcher.start();
+  }
+
+  struct watch {
+    watch(simulated_clock &Clock, simulated_store &Store, const std::string &Kind, duration Gather,
+          random_source &Random)
+        : Connection(Clock, Store), Scheduler(Clock),
+          Watcher(Kind, watcherSettings(Gather), Connection, View, Calls, Scheduler, Random) {}
+    simulated_connection Connection;
+    simulated_scheduler Scheduler;
+    view View;
+    unheard_calls Calls;
+    object_watcher Watcher;
+  };
+
+  watch Targets;
+  watch Routes;
+};
+
+/// A store with a target and a configuration.
+class view_of_changes : public testing::Test {
+protected:
+  view_of_changes() { reset(); }
+
+  /// Begins anew with a process that has watched for a while.
+  void reset() {
+    Process = nullptr;
+    Clock.reset();
+    Processes.clear();
+    Clock = std::make_unique<simulated_clock>();
+    Store = std::make_unique<simulated_store>(*Clock);
+    Store->write("servers");
+    Store->write("config");
+    pass(seconds(10));
+    start();
+    pass(seconds(8));
+  }
+  void start() {
+    Processes.push_back(std::make_unique<watching_process>(*Clock, *Store, Random));
+    Process = Processes.back().get();
+  }
+  void pass(duration Time) { Clock->runUntil(Clock->now() + Time); }
+  void changeAll() {
+    Store->write("servers");
+    Store->write("config");
+  }
+  bool current() const {
+    return Process->Targets.View.Known == Store->lastChange("servers") &&
+           Process->Routes.View.Known == Store->lastChange("config");
+  }
+
+  longest_pauses Random;
+  std::unique_ptr<simulated_clock> Clock;
+  std::unique_ptr<simulated_store> Store;
+  /// Actions of the clock refer to all of them; the last one is judged.
+  std::vector<std::unique_ptr<watching_process>> Processes;
+  watching_process *Process = nullptr;
+};
+
+TEST_F(view_of_changes, isCurrentSoonAfterEachChange) {
+  for (int I = 0; I < 20; ++I) {
+    changeAll();
+    pass(milliseconds(150 * I));
+    changeAll();
+    pass(ChangeTime);
+    EXPECT_TRUE(current()) << I;
+  }
+}
+
+class view_after_a_silent_store : public view_of_changes {};
+
+// Guards against a watch that the store never took in, and whose answer is waited for.
+TEST_F(view_after_a_silent_store, isCurrentWheneverTheWatchWasAsked) {
+  for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(5)) {
+    reset();
+    changeAll();
+    pass(Offset);
+    Store->setSilent(true);
+    pass(seconds(3));
+    Store->setSilent(false);
+    pass(ContactTime);
+    changeAll();
+    pass(ChangeTime);
+    EXPECT_TRUE(current()) << Offset.count();
+  }
+}
+
+// Guards against a pause after unanswered calls that is longer than the time after which the
+// process counts as in contact again.
+TEST_F(view_after_a_silent_store, isCurrentHoweverLongThatLasted) {
+  for (duration Length = milliseconds(500); Length < seconds(20); Length += milliseconds(50)) {
+    reset();
+    changeAll();
+    pass(seconds(1));
+    changeAll();
+    Store->setSilent(true);
+    pass(Length);
+    Store->setSilent(false);
+    pass(ContactTime);
+    EXPECT_TRUE(current()) << Length.count();
+  }
+}
+
+class view_during_loss_of_history : public view_of_changes {
+protected:
+  /// Stale reads fall behind as soon as watches are cut.
+  void loseHistory() {
+    Clock->after(milliseconds(0), [this] { Store->muteWatches(); });
+    Clock->after(milliseconds(600), [this] { changeAll(); });
+    Clock->after(milliseconds(1200), [this] {
+      Store->cutWatches();
+      Store->setStaleLag(seconds(6));
+    });
+    Clock->after(milliseconds(1260), [this] { Store->dropHistory(); });
+  }
+  static constexpr duration Lost = milliseconds(1260);
+};
+
+// Guards against a watch from the revision of a stale list that waits without the changes which the
+// store forgot meanwhile.
+TEST_F(view_during_loss_of_history, isCurrentWheneverTheProcessStarts) {
+  for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(5)) {
+    reset();
+    loseHistory();
+    pass(Offset);
+    start();
+    pass(std::max(Offset, Lost) - Offset + ContactTime);
+    EXPECT_TRUE(current()) << Offset.count();
+  }
+}
+
+// Guards against the same after the pause in which changes are gathered.
+TEST_F(view_during_loss_of_history, isCurrentWhateverChangedBefore) {
+  for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(5)) {
+    reset();
+    changeAll();
+    pass(Offset);
+    loseHistory();
+    pass(Lost + ContactTime);
+    EXPECT_TRUE(current()) << Offset.count();
+  }
+}
+
+class view_after_a_cut : public view_of_changes {
+protected:
+  void setCut(bool IsCut) {
+    Process->Targets.Connection.setCut(IsCut);
+    Process->Routes.Connection.setCut(IsCut);
+  }
+};
+
+// Guards against the same after calls that found no connection.
+TEST_F(view_after_a_cut, isCurrentHoweverLongItLasted) {
+  for (duration Length = seconds(1); Length < seconds(20); Length += milliseconds(50)) {
+    reset();
+    setCut(true);
+    pass(Length);
+    changeAll();
+    setCut(false);
+    pass(ContactTime);
+    EXPECT_TRUE(current()) << Length.count();
+  }
+}
+
+// Guards against a dead connection that is noticed too late because its last call came late.
+TEST_F(view_after_a_cut, isCurrentAfterConnectionsWentSilent) {
+  for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(20)) {
+    reset();
+    changeAll();
+    pass(Offset);
+    Process->Targets.Connection.silence();
+    Process->Routes.Connection.silence();
+    changeAll();
+    pass(ContactTime);
+    EXPECT_TRUE(current()) << Offset.count();
+  }
+}
+
+class view_after_refusals : public view_of_changes {};
+
+TEST_F(view_after_refusals, isCurrentHoweverLongTheyLasted) {
+  for (duration Length{}; Length < seconds(10); Length += milliseconds(50)) {
+    reset();
+    Store->setRefusing(true);
+    pass(Length);
+    Store->setRefusing(false);
+    changeAll();
+    pass(ContactTime);
+    EXPECT_TRUE(current()) << Length.count();
+  }
+}
+
+} // namespace
+} // namespace briarpoint
