Check that the store takes in each watch that may wait long

What callers saw: new flows at a target that had announced its end more than 3 s ago, so calls that were cut or refused when it ended (DRAIN).

Cause: a store that hangs takes the bytes of a call, never answers, and keeps the connection alive. A forwarder that asked to watch just then waited up to 31.5 s for an answer that couldn't come, and took the silence for 'nothing changed'. After each change a forwarder pauses 1.2 s before it asks again, so all of them ask at the same moment, and one short silence makes the whole fleet blind. New targets used to hide the fault: their tokens are unknown, which has the store asked anew. When targets are only taken away, nothing does.

Ruled out for this case: a watch that omits changes, and a list that claims a revision it doesn't have (the logs show the watch from the right revision, without any answer); a long pause (no call failed before); placing on a known draining target (no registration_changed line came before).

Change: each watch that may wait longer than a probe is followed by a check on a connection of its own, a read that costs a tenth of a call. If the check isn't answered, the watch is dropped, and short ones follow until the store answers. The check goes out after the watch, so that a silence that swallowed the watch swallows the check too.

--- a/src/forwarder/forwarder_status.cpp
+++ b/src/forwarder/forwarder_status.cpp
@@ -55,6 +55,7 @@
   Page.counter(Name, Help, {{"kind", Kind}, {"call", "list"}}, Counters.Lists);
   Page.counter(Name, Help, {{"kind", Kind}, {"call", "stale_list"}}, Counters.StaleLists);
   Page.counter(Name, Help, {{"kind", Kind}, {"call", "watch"}}, Counters.Watches);
+  Page.counter(Name, Help, {{"kind", Kind}, {"call", "check"}}, Counters.Checks);
   for (std::size_t Outcome = 0; Outcome < CallOutcomeCount; ++Outcome)
     Page.counter(
         "briarpoint_forwarder_store_answers_total", "Ended calls to the store.",
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -39,14 +39,16 @@
   Unanswered,
   /// The answer can't be read.
   Malformed,
+  /// A check after the call wasn't answered, so the store may never have received the call.
+  Unconfirmed,
 };
 
-inline constexpr std::size_t CallOutcomeCount = 5;
+inline constexpr std::size_t CallOutcomeCount = 6;
 
 /// Returns the name for logs and metrics.
 constexpr std::string_view toString(call_outcome Outcome) {
-  constexpr std::array<std::string_view, CallOutcomeCount> Names{"done", "history_gone", "refused",
-                                                                 "unanswered", "malformed"};
+  constexpr std::array<std::string_view, CallOutcomeCount> Names{
+      "done", "history_gone", "refused", "unanswered", "malformed", "unconfirmed"};
   return Names.at(static_cast<std::size_t>(Outcome));
 }
 
@@ -74,8 +76,9 @@
   std::uint64_t Revision = 0;
 };
 
-/// Reads objects of the platform's store over one connection. One call may be in progress; its
-/// callback comes once, later, from the event loop. Destroying the object drops the call.
+/// Reads objects of the platform's store. One list or watch may be in progress, and one check
+/// beside it; callbacks come once, later, from the event loop. Destroying the object drops the
+/// calls.
 class object_api {
 public:
   virtual ~object_api() = default;
@@ -88,7 +91,11 @@
   virtual void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
                      std::function<void(watch_answer)> Done) = 0;
 
-  /// Drops the call in progress, if there is one, and its connection.
+  /// Asks the store for an answer that is due at once, over a connection of its own, to learn
+  /// whether it takes calls in. Costs as much as a stale read. Drops an earlier check.
+  virtual void check(std::function<void(call_outcome)> Done) = 0;
+
+  /// Drops the calls in progress and their connections.
   virtual void cancel() = 0;
 };
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -56,6 +56,22 @@
   noteAsked(store_call_type::Watch, Revision, Wait - duration(Jitter));
   Api.watch(Kind, Revision, Wait - duration(Jitter),
             [this](const watch_answer &Answer) { finishWatch(Answer); });
+  // The end of a short watch tells as much as a check.
+  if (Wait <= Settings.ProbeWait)
+    return;
+  ++Counters.Checks;
+  Api.check(
+      [this, Watch = Counters.Watches](call_outcome Outcome) { finishCheck(Watch, Outcome); });
+}
+
+void object_watcher::finishCheck(std::uint64_t Watch, call_outcome Outcome) {
+  const bool InProgress = Calling && NextKind == call_kind::Watch && Watch == Counters.Watches;
+  if (Outcome == call_outcome::Done || !InProgress)
+    return;
+  Api.cancel();
+  Calling = false;
+  Calls.onAnswered(Call, call_outcome::Unconfirmed, 0, 0);
+  fail(call_outcome::Unconfirmed);
 }
 
 void object_watcher::finishList(list_answer Answer) {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -36,6 +36,10 @@
 
 /// Keeps a listener up to date about all objects of one kind: a list, then watches. After a gap in
 /// the store's history it lists again. It never reports an older list than what it reported before.
+///
+/// A watch without an answer may mean that nothing changed, or that the store never received it: a
+/// store that hangs keeps connections alive. So each watch that may wait long is followed by a
+/// check; if that isn't answered, the watch is dropped as if it had failed.
 class object_watcher {
 public:
   /// Everything that is referred to must outlive the object.
@@ -66,6 +70,8 @@
   void startWatch(duration Wait);
   void finishList(list_answer Answer);
   void finishWatch(const watch_answer &Answer);
+  /// \p Watch is the number of the watch that was checked.
+  void finishCheck(std::uint64_t Watch, call_outcome Outcome);
   void fail(call_outcome Outcome);
   void succeed();
   void callAfter(duration Delay);
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -33,8 +33,10 @@
              std::function<void(watch_answer)> Done) override {
     Calls.push_back({nullptr, std::move(Done), "", freshness::Linearizable, Revision, Wait});
   }
+  void check(std::function<void(call_outcome)> Done) override { Check = std::move(Done); }
   void cancel() override {
     Calls.clear();
+    Check = nullptr;
     ++Cancelled;
   }
   pending_call take() {
@@ -43,6 +45,7 @@
     return Result;
   }
   std::deque<pending_call> Calls;
+  std::function<void(call_outcome)> Check;
   int Cancelled = 0;
 };
 
@@ -259,6 +262,30 @@
   EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Refused)], 1U);
 }
 
+// Guards against a watch that the store never received and that is waited for (incident DRAIN).
+TEST_F(watching_listed_objects, asksAgainIfTheStoreDoesNotAnswerACheck) {
+  Api.Check(call_outcome::Unanswered);
+  EXPECT_EQ(Api.Cancelled, 1);
+  EXPECT_EQ(Listener.Events, std::vector<std::string>{"lost"});
+  EXPECT_LE(Scheduler.runNext(), object_watcher_settings().FirstBackoff.Base);
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
+}
+
+// Guards against watches that work and are dropped: checks that are answered or come too late.
+TEST_F(watching_listed_objects, keepsAWatchWhoseCheckTellsNothingBad) {
+  Api.Check(call_outcome::Done);
+  EXPECT_EQ(Api.Calls.size(), 1U);
+  const auto Late = Api.Check;
+  answerWatch(1, 11);
+  Late(call_outcome::Unanswered);
+  EXPECT_TRUE(Api.Calls.empty());
+  Scheduler.runNext();
+  Late(call_outcome::Unanswered);
+  EXPECT_EQ(Api.Calls.size(), 1U);
+  EXPECT_EQ(Api.Cancelled, 0);
+}
+
 // Guards against a watch that waits for a change it will never report, without a line that tells
 // from which revision it was asked (incident DRAIN).
 TEST_F(watching_listed_objects, tellsWhatItAskedAndHowThatEnded) {
--- a/tests/store/simulated_store.h
+++ b/tests/store/simulated_store.h
@@ -119,6 +119,7 @@
             std::function<void(list_answer)> Done) override;
   void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
              std::function<void(watch_answer)> Done) override;
+  void check(std::function<void(call_outcome)> Done) override;
   void cancel() override;
 
 private:
@@ -138,6 +139,8 @@
   std::uint64_t Calls = 0;
   std::function<void()> Fail;
   std::function<void(watch_answer)> WatchDone;
+  /// The last check; an earlier one is dropped.
+  std::uint64_t Checks = 0;
   bool Connected = false;
   bool Cut = false;
   bool Silent = false;
--- a/tests/store/simulated_store_support.cpp
+++ b/tests/store/simulated_store_support.cpp
@@ -191,7 +191,28 @@
       [Done] { Done({}); });
 }
 
+void simulated_connection::check(std::function<void(call_outcome)> Done) {
+  const std::uint64_t Check = ++Checks;
+  const auto Answer = [this, Check, Done](call_outcome Outcome) {
+    if (Check == Checks)
+      Done(Outcome);
+  };
+  if (Silent || Cut) {
+    Clock.after(Silent ? CallTime : ConnectTime, [Answer] { Answer(call_outcome::Unanswered); });
+    return;
+  }
+  Clock.after(2 * Latency, [this, Answer] {
+    if (Store.Silent)
+      Clock.after(CallTime, [Answer] { Answer(call_outcome::Unanswered); });
+    else
+      Clock.after(Latency, [this, Answer] {
+        Answer(Store.Refusing ? call_outcome::Refused : call_outcome::Done);
+      });
+  });
+}
+
 void simulated_connection::cancel() {
+  ++Checks;
   Current = 0;
   Connected = false;
   Silent = false;
