Confirm the position of a watch before waiting long from it

What callers saw: probes answered by an old version of the configuration for up to ten seconds after a start (CONFIG). Drains come by the same client, so a target that announced its end would have been missed in the same way.

Cause: the platform's store cuts its watches and drops its history about 60 ms later, and stale reads are seconds behind from the cut on. A forwarder that started in between listed a stale revision and asked to watch from it while the history was still there. Then the history went. The store refuses such a watch only at the next change of its kind; until then the forwarder waited and took itself for current. A forwarder that ran on could meet the same after the pause in which it gathers changes.

Change: after a stale list, a failure or a refresh, a short watch goes first. Its empty answer doesn't move the position, so the long watch that follows is asked from the same revision and refused if the history is gone. When the store cuts a watch of one kind, the watcher of the other kind confirms its position too (watch_group), as it may have been between two watches.

A start costs one more call for each kind.

The fixture watching_listed_objects now answers the short watch, so that its tests begin where they did, in a long watch; the exact call counts of countsCallsByKindAndOutcome grow by that call.

--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -99,6 +99,7 @@
   route_feed Configuration;
   store_call_log RegistrationCalls;
   store_call_log ConfigurationCalls;
+  watch_group Watchers;
   loop_scheduler RegistrationScheduler;
   loop_scheduler ConfigurationScheduler;
   object_watcher RegistrationWatcher;
@@ -128,11 +129,11 @@
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
         RegistrationWatcher(Platform.Objects.registrationKind(),
                             watchSettings(AllSettings.DrainTime, RegistrationGather),
-                            Platform.RegistrationApi, Registrations, RegistrationCalls,
+                            Platform.RegistrationApi, Registrations, RegistrationCalls, Watchers,
                             RegistrationScheduler, Random),
         ConfigurationWatcher(Platform.Objects.configurationKind(),
                              watchSettings(AllSettings.ConfigurationTime, ConfigurationGather),
-                             Platform.ConfigurationApi, Configuration, ConfigurationCalls,
+                             Platform.ConfigurationApi, Configuration, ConfigurationCalls, Watchers,
                              ConfigurationScheduler, Random),
         ReadinessServer(Loop, AllSettings.Readiness,
                         [this](const std::string &Path) { return answerReadiness(Path); }),
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -7,9 +7,11 @@
 
 object_watcher::object_watcher(std::string Kind, const object_watcher_settings &Settings,
                                object_api &Api, object_listener &Listener, call_listener &Calls,
-                               scheduler &Scheduler, random_source &Random)
+                               watch_group &Group, scheduler &Scheduler, random_source &Random)
     : Kind(std::move(Kind)), Settings(Settings), Api(Api), Listener(Listener), Calls(Calls),
-      Scheduler(Scheduler), Random(Random) {}
+      Group(Group), Scheduler(Scheduler), Random(Random) {
+  Group.join(*this);
+}
 
 void object_watcher::start() { startList(); }
 
@@ -18,7 +20,7 @@
     if (NextKind == call_kind::List)
       startList();
     else
-      startWatch(Failures > 0 ? Settings.ProbeWait : Settings.Wait);
+      startWatch();
   });
 }
 
@@ -28,9 +30,26 @@
   if (!Calling || NextKind == call_kind::List || Now < NextRefreshAt)
     return;
   NextRefreshAt = Now + Settings.RefreshInterval;
+  Confirmed = false;
+  restartWatch();
+}
+
+void object_watcher::distrust() {
+  const bool WaitsLong = Calling && NextKind == call_kind::Watch && Confirmed;
+  Confirmed = false;
+  if (!WaitsLong)
+    return;
+  // The watch will be cut, too, unless it was asked just after that.
+  Scheduler.runAt(Scheduler.now() + Settings.ProbeWait, [this, Watch = Counters.Watches] {
+    if (Calling && NextKind == call_kind::Watch && Watch == Counters.Watches)
+      restartWatch();
+  });
+}
+
+void object_watcher::restartWatch() {
   Api.cancel();
   Calls.onDropped(Call);
-  startWatch(Settings.ProbeWait);
+  startWatch();
 }
 
 void object_watcher::noteAsked(store_call_type Type, std::uint64_t FromRevision, duration Wait) {
@@ -49,15 +68,16 @@
            [this](list_answer Answer) { finishList(std::move(Answer)); });
 }
 
-void object_watcher::startWatch(duration Wait) {
+void object_watcher::startWatch() {
   ++Counters.Watches;
+  const duration Wait = Confirmed ? Settings.Wait : Settings.ProbeWait;
   const auto Jitter =
       static_cast<duration::rep>(Random.below(static_cast<std::uint64_t>(Wait.count() / 10 + 1)));
   noteAsked(store_call_type::Watch, Revision, Wait - duration(Jitter));
   Api.watch(Kind, Revision, Wait - duration(Jitter),
             [this](const watch_answer &Answer) { finishWatch(Answer); });
   // The end of a short watch tells as much as a check.
-  if (Wait <= Settings.ProbeWait)
+  if (!Confirmed)
     return;
   ++Counters.Checks;
   Api.check(
@@ -99,6 +119,7 @@
     return;
   }
   Revision = PagesRevision;
+  Confirmed = ListFreshness == freshness::Linearizable;
   NextKind = call_kind::Watch;
   Listener.onList(Objects, Revision);
   callAfter(duration::zero());
@@ -118,7 +139,9 @@
     fail(Answer.Outcome);
     return;
   }
-  Revision = std::max(Revision, Answer.Revision);
+  // A short watch without changes may have missed some; the next one asks for them again.
+  if (std::exchange(Confirmed, true) || !Answer.Changes.empty())
+    Revision = std::max(Revision, Answer.Revision);
   succeed();
   if (!Answer.Changes.empty())
     Listener.onChanges(Answer.Changes, Revision);
@@ -127,8 +150,11 @@
 
 void object_watcher::fail(call_outcome Outcome) {
   ++Counters.Outcomes[static_cast<std::size_t>(Outcome)];
+  Confirmed = false;
   if (Failures++ == 0)
     Listener.onContact(false, Outcome);
+  if (Outcome == call_outcome::Unanswered && Call.Type == store_call_type::Watch)
+    Group.reportInterruption(*this);
   const instant Now = Scheduler.now();
   const backoff_settings &Backoff = Revision == 0 ? Settings.FirstBackoff : Settings.Backoff;
   callAfter(*nextRetry(Backoff, Failures - 1, Now, Never, Random) - Now);
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -7,6 +7,7 @@
 #include "store/object_listener.h"
 #include "store/scheduler.h"
 #include "store/watch_counters.h"
+#include "store/watch_group.h"
 
 #include <memory>
 #include <string>
@@ -20,8 +21,8 @@
   /// each watch is one priced call. Up to a tenth is taken off at random, so that balancers don't
   /// call at the same time.
   duration Wait = std::chrono::seconds(30);
-  /// Wait of the first watch after a failure: short, because only its answer proves that the
-  /// connection works again.
+  /// Wait of a watch that confirms the position from which the next one is asked. Longer than the
+  /// 60 ms that the platform takes to drop its history after it has cut the watches.
   duration ProbeWait = std::chrono::milliseconds(300);
   /// Time between a change and the next watch. Changes come in groups, and each watch that returns
   /// is a priced call; a change may take 3 s to be in force.
@@ -37,15 +38,19 @@
 /// Keeps a listener up to date about all objects of one kind: a list, then watches. After a gap in
 /// the store's history it lists again. It never reports an older list than what it reported before.
 ///
-/// A watch without an answer may mean that nothing changed, or that the store never received it: a
-/// store that hangs keeps connections alive. So each watch that may wait long is followed by a
-/// check; if that isn't answered, the watch is dropped as if it had failed.
+/// A watch without an answer may mean that nothing changed, but two other things as well:
+/// - The store never received it: a store that hangs keeps connections alive. So each watch that
+///   may wait long is followed by a check; if that isn't answered, the watch is dropped as if it
+///   had failed.
+/// - The history after its revision was dropped when it waited already; the store refuses such a
+///   watch only at the next change. So after a stale list, a failure or an interruption, a short
+///   watch goes first, and the long one is asked from the same revision.
 class object_watcher {
 public:
   /// Everything that is referred to must outlive the object.
   object_watcher(std::string Kind, const object_watcher_settings &Settings, object_api &Api,
-                 object_listener &Listener, call_listener &Calls, scheduler &Scheduler,
-                 random_source &Random);
+                 object_listener &Listener, call_listener &Calls, watch_group &Group,
+                 scheduler &Scheduler, random_source &Random);
 
   /// Makes the first call.
   void start();
@@ -55,6 +60,10 @@
   /// nothing for RefreshInterval after the last time.
   void refresh();
 
+  /// The store has cut watches: the next watch confirms the position, and one that goes on waiting
+  /// is asked again.
+  void distrust();
+
   /// When the store answered last; what it reported then was complete.
   instant answeredAt() const { return AnsweredAt; }
 
@@ -67,7 +76,9 @@
 
   void noteAsked(store_call_type Type, std::uint64_t FromRevision, duration Wait);
   void startList();
-  void startWatch(duration Wait);
+  void startWatch();
+  /// Drops the watch in progress and asks again.
+  void restartWatch();
   void finishList(list_answer Answer);
   void finishWatch(const watch_answer &Answer);
   /// \p Watch is the number of the watch that was checked.
@@ -81,6 +92,7 @@
   object_api &Api;
   object_listener &Listener;
   call_listener &Calls;
+  watch_group &Group;
   scheduler &Scheduler;
   random_source &Random;
 
@@ -92,6 +104,8 @@
   std::uint64_t Revision = 0;
   std::uint32_t Failures = 0;
   bool Calling = false;
+  /// The store had the history after Revision when it answered last.
+  bool Confirmed = false;
   /// The call in progress, or the last one.
   store_call Call;
   instant NextRefreshAt{};
--- a/tests/forwarder/operations_page_test.cpp
+++ b/tests/forwarder/operations_page_test.cpp
@@ -69,9 +69,10 @@
   idle_api Api;
   idle_listener Listener;
   idle_calls Calls;
+  watch_group Group;
   idle_scheduler Scheduler;
   seeded_random Random{1};
-  object_watcher Watcher{"k", {}, Api, Listener, Calls, Scheduler, Random};
+  object_watcher Watcher{"k", {}, Api, Listener, Calls, Group, Scheduler, Random};
 };
 
 // Guards against metrics that the page doesn't explain, and page entries without a metric.
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -119,8 +119,9 @@
   fake_scheduler Scheduler;
   recorder Listener;
   call_recorder Calls;
+  watch_group Group;
   seeded_random Random{20261204};
-  object_watcher Watcher{"things", {}, Api, Listener, Calls, Scheduler, Random};
+  object_watcher Watcher{"things", {}, Api, Listener, Calls, Group, Scheduler, Random};
 };
 
 // Guards against changes between the pages of a list that no watch reports.
@@ -149,11 +150,28 @@
   EXPECT_EQ(Api.Calls.front().Revision, 10U);
 }
 
+// Guards against a long watch from the revision of a stale list, whose history may just be dropped
+// (incident DRAIN): a short one goes first, and the long one asks from the same revision.
+TEST_F(watching_objects, confirmsThePositionOfAStaleList) {
+  answerList({object("a")}, 10);
+  Scheduler.runNext();
+  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
+  EXPECT_FALSE(Api.Check);
+  answerWatch(0, 17);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_GT(Api.Calls.front().Wait, seconds(20));
+  EXPECT_TRUE(Api.Check);
+}
+
+/// A list was read, its position is confirmed, and a long watch waits.
 class watching_listed_objects : public watching_objects {
 protected:
   watching_listed_objects() {
     answerList({object("a")}, 10);
     Scheduler.runNext();
+    answerWatch(0, 10);
+    Scheduler.runNext();
     Listener.Events.clear();
   }
 };
@@ -257,8 +275,9 @@
   failWatch(call_outcome::Refused);
   const watch_counters &Counters = Watcher.counters();
   EXPECT_EQ(Counters.StaleLists, 1U);
-  EXPECT_EQ(Counters.Watches, 2U);
-  EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Done)], 2U);
+  EXPECT_EQ(Counters.Watches, 3U);
+  EXPECT_EQ(Counters.Checks, 2U);
+  EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Done)], 3U);
   EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Refused)], 1U);
 }
 
@@ -286,6 +305,24 @@
   EXPECT_EQ(Api.Cancelled, 0);
 }
 
+// Guards against a watch that was asked just after the store had cut the others.
+TEST_F(watching_listed_objects, asksAgainAfterAnotherWatcherWasInterrupted) {
+  Watcher.distrust();
+  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeWait);
+  EXPECT_EQ(Api.Cancelled, 1);
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
+}
+
+// Guards against the same after a pause in which changes are gathered.
+TEST_F(watching_listed_objects, confirmsThePositionIfAnotherWatcherWasInterruptedMeanwhile) {
+  answerWatch(1, 11);
+  Watcher.distrust();
+  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().Gather);
+  EXPECT_EQ(Api.Calls.front().Revision, 11U);
+  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
+}
+
 // Guards against a watch that waits for a change it will never report, without a line that tells
 // from which revision it was asked (incident DRAIN).
 TEST_F(watching_listed_objects, tellsWhatItAskedAndHowThatEnded) {
@@ -295,8 +332,9 @@
   failWatch(call_outcome::Refused);
   EXPECT_EQ(Calls.Lines, (std::vector<std::string>{
                              "asked stale_list from 0", "done after 0: 1 at 10",
-                             "asked watch from 10", "done after 10: 0 at 12", "asked watch from 12",
-                             "dropped 12", "asked watch from 12", "refused after 12: 0 at 0"}));
+                             "asked watch from 10", "done after 10: 0 at 10", "asked watch from 10",
+                             "done after 10: 0 at 12", "asked watch from 12", "dropped 12",
+                             "asked watch from 12", "refused after 12: 0 at 0"}));
 }
 
 } // namespace
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -55,17 +55,18 @@
 class watching_process {
 public:
   watching_process(simulated_clock &Clock, simulated_store &Store, random_source &Random)
-      : Targets(Clock, Store, "servers", milliseconds(1200), Random),
-        Routes(Clock, Store, "config", milliseconds(300), Random) {
+      : Targets(Clock, Store, "servers", milliseconds(1200), Group, Random),
+        Routes(Clock, Store, "config", milliseconds(300), Group, Random) {
     Targets.Watcher.start();
     Routes.Watcher.start();
   }
 
   struct watch {
     watch(simulated_clock &Clock, simulated_store &Store, const std::string &Kind, duration Gather,
-          random_source &Random)
+          watch_group &Group, random_source &Random)
         : Connection(Clock, Store), Scheduler(Clock),
-          Watcher(Kind, watcherSettings(Gather), Connection, View, Calls, Scheduler, Random) {}
+          Watcher(Kind, watcherSettings(Gather), Connection, View, Calls, Group, Scheduler,
+                  Random) {}
     simulated_connection Connection;
     simulated_scheduler Scheduler;
     view View;
@@ -73,6 +74,7 @@
     object_watcher Watcher;
   };
 
+  watch_group Group;
   watch Targets;
   watch Routes;
 };
