Watch from the oldest page of a list

The watch began at the revision of the first page. The pages of a linearizable list grow newer, but stale reads may be answered by data that are seconds older than those of the page before: on the platform they fall behind when the store cuts its watches. Changes between the two revisions would be missed for the objects of the later page.

Change: the list's revision is the lowest of its pages.

Test: watching_objects.watchesFromTheOldestPage, which asked to watch from 14 instead of 10 before.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -97,14 +97,14 @@
 void object_watcher::finishList(list_answer Answer) {
   Calling = false;
   Calls.onAnswered(Call, Answer.Outcome, Answer.Revision, Answer.Objects.size());
-  // The pages read so far stay valid: the watch starts from the revision of the first one.
+  // The pages read so far stay valid: the watch starts from the revision of the oldest one.
   if (Answer.Outcome != call_outcome::Done) {
     fail(Answer.Outcome);
     return;
   }
-  // The first page is the oldest: watching from its revision misses nothing of the later ones.
-  if (Pages.empty())
-    PagesRevision = Answer.Revision;
+  // Watching from the revision of the oldest page misses nothing of the others. That is the first
+  // one, unless pages are stale.
+  PagesRevision = Pages.empty() ? Answer.Revision : std::min(PagesRevision, Answer.Revision);
   std::move(Answer.Objects.begin(), Answer.Objects.end(), std::back_inserter(Pages));
   succeed();
   if (Answer.More && !Answer.Objects.empty()) {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -98,7 +98,7 @@
 
   call_kind NextKind = call_kind::List;
   freshness ListFreshness = freshness::Stale;
-  /// Pages of the list in progress, and the revision of the first one.
+  /// Pages of the list in progress, and the revision of the oldest one.
   std::vector<stored_object> Pages;
   std::uint64_t PagesRevision = 0;
   std::uint64_t Revision = 0;
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -136,6 +136,16 @@
   EXPECT_EQ(Listener.Events, std::vector<std::string>{"list 3 at 10"});
 }
 
+// Guards against changes between pages that were read in the reverse order of their age, as stale
+// reads may be.
+TEST_F(watching_objects, watchesFromTheOldestPage) {
+  answerList({object("a")}, 14, true);
+  answerList({object("b")}, 10);
+  Scheduler.runNext();
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_EQ(Listener.Events, std::vector<std::string>{"list 2 at 10"});
+}
+
 // Guards against a list that is never complete when the store is overloaded: a page that fails is
 // asked for again, without the pages before it, and the list isn't taken for a whole one before.
 TEST_F(watching_objects, asksAgainForAPageThatFailed) {
