Limit pauses after failed calls by the platform's contact time

Cause: a machine counts as in contact 4 s (grown sites: 5 s) after its trouble, and must then know what was announced meanwhile. A call that was in progress at the end of the trouble fails up to 1.8 s later, and the pause after it was up to the change time, 3 s (5 s): 4.8 s (6.8 s) in the worst case. The comment allowed the contact time plus the change time, which holds only for changes after the trouble. The store acknowledges changes all the while when only some machines are cut off.

Change: pauses, and the time for which changes are gathered, are at most the contact time less the calls that must fit into it (watch_settings). The platform's figure is the new setting contact_time, from bounds.contact_ms.

Figures: pauses of up to 1.8 s (2.8 s).

All view_* tests run with the bounds of the small and of the grown sites now, and with the settings that the forwarder derives from them.

--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -8,6 +8,7 @@
 #include "forwarder/registration_feed.h"
 #include "forwarder/route_feed.h"
 #include "forwarder/store_call_log.h"
+#include "forwarder/watch_settings.h"
 #include "io/http_get_server.h"
 
 #include <algorithm>
@@ -31,26 +32,6 @@
 
 /// How often the settings file is compared with what was read last; it may change without a signal.
 constexpr duration SettingsInterval = std::chrono::seconds(10);
-/// Part of the time in which a change must be in force for which further changes are gathered. The
-/// rest is for a call that fails and its repeat. Registrations change in groups, and a draining
-/// target goes on accepting flows, so they are gathered for longer than configurations.
-constexpr double RegistrationGather = 0.4;
-constexpr double ConfigurationGather = 0.1;
-/// Limits of both, however much time a platform leaves: news of targets that crashed shouldn't wait
-/// longer. The grown deployments were played with these.
-constexpr duration MaxGather = std::chrono::seconds(2);
-constexpr duration MaxRetryPause = std::chrono::seconds(5);
-
-object_watcher_settings watchSettings(duration ChangeTime, double GatherShare) {
-  object_watcher_settings Result;
-  // After trouble of the store, a change must be in force the platform's "contact" time (4 s or
-  // more) plus the change time later; a pause and a call of 1.8 s without an answer fit in that.
-  Result.Backoff.Limit = std::clamp(ChangeTime, Result.FirstBackoff.Limit, MaxRetryPause);
-  Result.Gather =
-      std::min(std::chrono::duration_cast<duration>(ChangeTime * GatherShare), MaxGather);
-  return Result;
-}
-
 std::uint64_t randomSeed() {
   std::random_device Device;
   return static_cast<std::uint64_t>(Device()) << 32U | Device();
@@ -128,13 +109,13 @@
         ConfigurationCalls(Platform.Objects.configurationKind(), Log, Clock),
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
         RegistrationWatcher(Platform.Objects.registrationKind(),
-                            watchSettings(AllSettings.DrainTime, RegistrationGather),
-                            Platform.RegistrationApi, Registrations, RegistrationCalls, Watchers,
-                            RegistrationScheduler, Random),
+                            registrationWatchSettings(AllSettings), Platform.RegistrationApi,
+                            Registrations, RegistrationCalls, Watchers, RegistrationScheduler,
+                            Random),
         ConfigurationWatcher(Platform.Objects.configurationKind(),
-                             watchSettings(AllSettings.ConfigurationTime, ConfigurationGather),
-                             Platform.ConfigurationApi, Configuration, ConfigurationCalls, Watchers,
-                             ConfigurationScheduler, Random),
+                             configurationWatchSettings(AllSettings), Platform.ConfigurationApi,
+                             Configuration, ConfigurationCalls, Watchers, ConfigurationScheduler,
+                             Random),
         ReadinessServer(Loop, AllSettings.Readiness,
                         [this](const std::string &Path) { return answerReadiness(Path); }),
         OperatorServer(Loop, AllSettings.Operator,
--- a/src/forwarder/forwarder_settings.h
+++ b/src/forwarder/forwarder_settings.h
@@ -31,6 +31,9 @@
   duration DrainTime = std::chrono::seconds(3);
   /// Time after the store has a configuration until it must be in force.
   duration ConfigurationTime = std::chrono::seconds(3);
+  /// Time after the end of trouble, of the store or of the path to it, until what was missed must
+  /// be known.
+  duration ContactTime = std::chrono::seconds(4);
   std::uint32_t MaxFlows = 20'000;
   log_level LogLevel = log_level::Info;
 
--- /dev/null
+++ b/src/forwarder/watch_settings.cpp
@@ -0,0 +1,43 @@
+#include "forwarder/watch_settings.h"
+
+#include <algorithm>
+
+namespace briarpoint {
+
+namespace {
+
+/// Part of the time in which a change must be in force for which further changes are gathered. The
+/// rest is for a call that fails and its repeat. Registrations change in groups, and a draining
+/// target goes on accepting flows, so they are gathered for longer than configurations.
+constexpr double RegistrationGather = 0.4;
+constexpr double ConfigurationGather = 0.1;
+/// Limits of pauses, however much time a platform leaves: news of targets that crashed shouldn't
+/// wait longer. The grown deployments were played with these.
+constexpr duration MaxGather = std::chrono::seconds(2);
+constexpr duration MaxRetryPause = std::chrono::seconds(5);
+/// Calls that fit into the contact time besides a pause: one that was in progress when the trouble
+/// ended and fails after 1.8 s at most, and a short watch and a list that are answered.
+constexpr duration CallReserve = std::chrono::milliseconds(2200);
+
+object_watcher_settings watchSettings(duration ChangeTime, double GatherShare,
+                                      duration ContactTime) {
+  object_watcher_settings Result;
+  const duration Pause = std::max(ContactTime - CallReserve, Result.FirstBackoff.Base);
+  Result.Backoff.Limit = std::min(Pause, MaxRetryPause);
+  Result.FirstBackoff.Limit = std::min(Pause, Result.FirstBackoff.Limit);
+  Result.Gather =
+      std::min({std::chrono::duration_cast<duration>(ChangeTime * GatherShare), Pause, MaxGather});
+  return Result;
+}
+
+} // namespace
+
+object_watcher_settings registrationWatchSettings(const forwarder_settings &Settings) {
+  return watchSettings(Settings.DrainTime, RegistrationGather, Settings.ContactTime);
+}
+
+object_watcher_settings configurationWatchSettings(const forwarder_settings &Settings) {
+  return watchSettings(Settings.ConfigurationTime, ConfigurationGather, Settings.ContactTime);
+}
+
+} // namespace briarpoint
--- a/tests/forwarder/forwarder_settings_test.cpp
+++ b/tests/forwarder/forwarder_settings_test.cpp
@@ -57,6 +57,9 @@
       {"{{#bounds.config_apply_ms}}", ""},
       {"{{bounds.config_apply_ms}}", "4000"},
       {"{{/bounds.config_apply_ms}}", ""},
+      {"{{#bounds.contact_ms}}", ""},
+      {"{{bounds.contact_ms}}", "6000"},
+      {"{{/bounds.contact_ms}}", ""},
       {"{{listen.datagram_addr}}", "10.0.0.2:1"},
       {"{{listen.ready_addr}}", "10.0.0.2:2"},
       {"{{ip}}", "10.0.0.2"}};
@@ -71,6 +74,7 @@
   EXPECT_EQ(Settings.FlowLifetime, std::chrono::seconds(60));
   EXPECT_EQ(Settings.DrainTime, std::chrono::seconds(5));
   EXPECT_EQ(Settings.ConfigurationTime, std::chrono::seconds(4));
+  EXPECT_EQ(Settings.ContactTime, std::chrono::seconds(6));
 }
 
 } // namespace
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -1,4 +1,5 @@
 #include "base/random_source.h"
+#include "forwarder/watch_settings.h"
 #include "simulated_store.h"
 #include "store/object_watcher.h"
 
@@ -12,10 +13,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Bounds that the platform states: a change is known this long after the store has it, and this
-/// long after all trouble is over.
-constexpr duration ChangeTime = seconds(3);
-constexpr duration ContactTime = seconds(4);
+/// What a platform states.
+struct platform_case {
+  const char *Name;
+  /// A change is known this long after the store has it, and this long after all trouble is over.
+  duration ChangeTime;
+  duration ContactTime;
+};
 
 /// Keeps the revision of the last change that was reported.
 class view final : public object_listener {
@@ -45,28 +49,22 @@
   std::uint64_t next() override { return ~std::uint64_t{0}; }
 };
 
-object_watcher_settings watcherSettings(duration Gather) {
-  object_watcher_settings Result;
-  Result.Gather = Gather;
-  return Result;
-}
-
 /// A forwarder's two watchers, each with its own connection.
 class watching_process {
 public:
-  watching_process(simulated_clock &Clock, simulated_store &Store, random_source &Random)
-      : Targets(Clock, Store, "servers", milliseconds(1200), Group, Random),
-        Routes(Clock, Store, "config", milliseconds(300), Group, Random) {
+  watching_process(simulated_clock &Clock, simulated_store &Store,
+                   const forwarder_settings &Settings, random_source &Random)
+      : Targets(Clock, Store, "servers", registrationWatchSettings(Settings), Group, Random),
+        Routes(Clock, Store, "config", configurationWatchSettings(Settings), Group, Random) {
     Targets.Watcher.start();
     Routes.Watcher.start();
   }
 
   struct watch {
-    watch(simulated_clock &Clock, simulated_store &Store, const std::string &Kind, duration Gather,
-          watch_group &Group, random_source &Random)
+    watch(simulated_clock &Clock, simulated_store &Store, const std::string &Kind,
+          const object_watcher_settings &Settings, watch_group &Group, random_source &Random)
         : Connection(Clock, Store), Scheduler(Clock),
-          Watcher(Kind, watcherSettings(Gather), Connection, View, Calls, Group, Scheduler,
-                  Random) {}
+          Watcher(Kind, Settings, Connection, View, Calls, Group, Scheduler, Random) {}
     simulated_connection Connection;
     simulated_scheduler Scheduler;
     view View;
@@ -80,9 +78,13 @@
 };
 
 /// A store with a target and a configuration.
-class view_of_changes : public testing::Test {
+class view_of_changes : public testing::TestWithParam<platform_case> {
 protected:
-  view_of_changes() { reset(); }
+  view_of_changes() {
+    Settings.DrainTime = Settings.ConfigurationTime = ChangeTime;
+    Settings.ContactTime = ContactTime;
+    reset();
+  }
 
   /// Begins anew with a process that has watched for a while.
   void reset() {
@@ -98,7 +100,7 @@
     pass(seconds(8));
   }
   void start() {
-    Processes.push_back(std::make_unique<watching_process>(*Clock, *Store, Random));
+    Processes.push_back(std::make_unique<watching_process>(*Clock, *Store, Settings, Random));
     Process = Processes.back().get();
   }
   void pass(duration Time) { Clock->runUntil(Clock->now() + Time); }
@@ -111,6 +113,9 @@
            Process->Routes.View.Known == Store->lastChange("config");
   }
 
+  const duration ChangeTime = GetParam().ChangeTime;
+  const duration ContactTime = GetParam().ContactTime;
+  forwarder_settings Settings;
   longest_pauses Random;
   std::unique_ptr<simulated_clock> Clock;
   std::unique_ptr<simulated_store> Store;
@@ -119,7 +124,7 @@
   watching_process *Process = nullptr;
 };
 
-TEST_F(view_of_changes, isCurrentSoonAfterEachChange) {
+TEST_P(view_of_changes, isCurrentSoonAfterEachChange) {
   for (int I = 0; I < 20; ++I) {
     changeAll();
     pass(milliseconds(150 * I));
@@ -132,7 +137,7 @@
 class view_after_a_silent_store : public view_of_changes {};
 
 // Guards against a watch that the store never took in, and whose answer is waited for.
-TEST_F(view_after_a_silent_store, isCurrentWheneverTheWatchWasAsked) {
+TEST_P(view_after_a_silent_store, isCurrentWheneverTheWatchWasAsked) {
   for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(5)) {
     reset();
     changeAll();
@@ -149,7 +154,7 @@
 
 // Guards against a pause after unanswered calls that is longer than the time after which the
 // process counts as in contact again.
-TEST_F(view_after_a_silent_store, isCurrentHoweverLongThatLasted) {
+TEST_P(view_after_a_silent_store, isCurrentHoweverLongThatLasted) {
   for (duration Length = milliseconds(500); Length < seconds(20); Length += milliseconds(50)) {
     reset();
     changeAll();
@@ -180,7 +185,7 @@
 
 // Guards against a watch from the revision of a stale list that waits without the changes which the
 // store forgot meanwhile.
-TEST_F(view_during_loss_of_history, isCurrentWheneverTheProcessStarts) {
+TEST_P(view_during_loss_of_history, isCurrentWheneverTheProcessStarts) {
   for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(5)) {
     reset();
     loseHistory();
@@ -192,7 +197,7 @@
 }
 
 // Guards against the same after the pause in which changes are gathered.
-TEST_F(view_during_loss_of_history, isCurrentWhateverChangedBefore) {
+TEST_P(view_during_loss_of_history, isCurrentWhateverChangedBefore) {
   for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(5)) {
     reset();
     changeAll();
@@ -212,7 +217,7 @@
 };
 
 // Guards against the same after calls that found no connection.
-TEST_F(view_after_a_cut, isCurrentHoweverLongItLasted) {
+TEST_P(view_after_a_cut, isCurrentHoweverLongItLasted) {
   for (duration Length = seconds(1); Length < seconds(20); Length += milliseconds(50)) {
     reset();
     setCut(true);
@@ -225,7 +230,7 @@
 }
 
 // Guards against a dead connection that is noticed too late because its last call came late.
-TEST_F(view_after_a_cut, isCurrentAfterConnectionsWentSilent) {
+TEST_P(view_after_a_cut, isCurrentAfterConnectionsWentSilent) {
   for (duration Offset{}; Offset < seconds(2); Offset += milliseconds(20)) {
     reset();
     changeAll();
@@ -240,7 +245,7 @@
 
 class view_after_refusals : public view_of_changes {};
 
-TEST_F(view_after_refusals, isCurrentHoweverLongTheyLasted) {
+TEST_P(view_after_refusals, isCurrentHoweverLongTheyLasted) {
   for (duration Length{}; Length < seconds(10); Length += milliseconds(50)) {
     reset();
     Store->setRefusing(true);
@@ -252,5 +257,17 @@
   }
 }
 
+/// The bounds of the small and of the grown sites.
+constexpr platform_case Platforms[] = {{"small", seconds(3), seconds(4)},
+                                       {"grown", seconds(5), seconds(5)}};
+std::string nameOf(const testing::TestParamInfo<platform_case> &Info) { return Info.param.Name; }
+
+INSTANTIATE_TEST_SUITE_P(platform, view_of_changes, testing::ValuesIn(Platforms), nameOf);
+INSTANTIATE_TEST_SUITE_P(platform, view_after_a_silent_store, testing::ValuesIn(Platforms), nameOf);
+INSTANTIATE_TEST_SUITE_P(platform, view_during_loss_of_history, testing::ValuesIn(Platforms),
+                         nameOf);
+INSTANTIATE_TEST_SUITE_P(platform, view_after_a_cut, testing::ValuesIn(Platforms), nameOf);
+INSTANTIATE_TEST_SUITE_P(platform, view_after_refusals, testing::ValuesIn(Platforms), nameOf);
+
 } // namespace
 } // namespace briarpoint
