Check that the store takes in lists, too

The same cause as a watch that the store never received, found by looking for it elsewhere: a list is waited for up to 5 s. If the store falls silent just when a forwarder lists anew after a loss of history, and is back soon, the forwarder has its old state for longer than the 4 s after which it counts as in contact again.

Change: a list after the first one is followed by a check, like a watch. Until the first list a forwarder isn't ready and forwards nothing; there the check is made only if the list isn't answered within 300 ms, so that a start costs no more than before and waits 1.8 s instead of 5 s for a store that was silent.

Tests: view_during_loss_of_history.isCurrentIfTheStoreFallsSilentThen failed for 2 of 200 offsets with the small sites' bounds before, and passes now. isCurrentOrIncompleteWheneverTheProcessStarted is new and passed before. The simulated store limits lists to 5 s, as the real client does.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -40,8 +40,8 @@
   if (!WaitsLong)
     return;
   // The watch will be cut, too, unless it was asked just after that.
-  Scheduler.runAt(Scheduler.now() + Settings.ProbeWait, [this, Watch = Counters.Watches] {
-    if (Calling && NextKind == call_kind::Watch && Watch == Counters.Watches)
+  Scheduler.runAt(Scheduler.now() + Settings.ProbeWait, [this, Number = CallNumber] {
+    if (inProgress(Number))
       restartWatch();
   });
 }
@@ -55,6 +55,7 @@
 void object_watcher::noteAsked(store_call_type Type, std::uint64_t FromRevision, duration Wait) {
   const instant Now = Scheduler.now();
   Calling = true;
+  ++CallNumber;
   Call = {Type, FromRevision, Now, Now + Wait};
   Calls.onAsked(Call);
 }
@@ -66,6 +67,16 @@
   const std::string After = Pages.empty() ? "" : Pages.back().Name;
   Api.list(Kind, After, ListFreshness,
            [this](list_answer Answer) { finishList(std::move(Answer)); });
+  if (Revision != 0) {
+    startCheck();
+    return;
+  }
+  // Until the first list nothing is forwarded, so nothing can go wrong by old data; at a start, the
+  // check is made only if the list isn't answered soon.
+  Scheduler.runAt(Scheduler.now() + Settings.ProbeWait, [this, Number = CallNumber] {
+    if (inProgress(Number))
+      startCheck();
+  });
 }
 
 void object_watcher::startWatch() {
@@ -77,16 +88,17 @@
   Api.watch(Kind, Revision, Wait - duration(Jitter),
             [this](const watch_answer &Answer) { finishWatch(Answer); });
   // The end of a short watch tells as much as a check.
-  if (!Confirmed)
-    return;
+  if (Confirmed)
+    startCheck();
+}
+
+void object_watcher::startCheck() {
   ++Counters.Checks;
-  Api.check(
-      [this, Watch = Counters.Watches](call_outcome Outcome) { finishCheck(Watch, Outcome); });
+  Api.check([this, Number = CallNumber](call_outcome Outcome) { finishCheck(Number, Outcome); });
 }
 
-void object_watcher::finishCheck(std::uint64_t Watch, call_outcome Outcome) {
-  const bool InProgress = Calling && NextKind == call_kind::Watch && Watch == Counters.Watches;
-  if (Outcome == call_outcome::Done || !InProgress)
+void object_watcher::finishCheck(std::uint64_t Number, call_outcome Outcome) {
+  if (Outcome == call_outcome::Done || !inProgress(Number))
     return;
   Api.cancel();
   Calling = false;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -41,7 +41,7 @@
 /// A watch without an answer may mean that nothing changed, but two other things as well:
 /// - The store never received it: a store that hangs keeps connections alive. So each watch that
 ///   may wait long is followed by a check; if that isn't answered, the watch is dropped as if it
-///   had failed.
+///   had failed. The same holds for a list.
 /// - The history after its revision was dropped when it waited already; the store refuses such a
 ///   watch only at the next change. So after a stale list, a failure or an interruption, a short
 ///   watch goes first, and the long one is asked from the same revision.
@@ -81,8 +81,11 @@
   void restartWatch();
   void finishList(list_answer Answer);
   void finishWatch(const watch_answer &Answer);
-  /// \p Watch is the number of the watch that was checked.
-  void finishCheck(std::uint64_t Watch, call_outcome Outcome);
+  /// Asks whether the store takes calls in, now that the call in progress was sent.
+  void startCheck();
+  /// \p Number is that of the call that was checked.
+  void finishCheck(std::uint64_t Number, call_outcome Outcome);
+  bool inProgress(std::uint64_t Number) const { return Calling && Number == CallNumber; }
   void fail(call_outcome Outcome);
   void succeed();
   void callAfter(duration Delay);
@@ -108,6 +111,7 @@
   bool Confirmed = false;
   /// The call in progress, or the last one.
   store_call Call;
+  std::uint64_t CallNumber = 0;
   instant NextRefreshAt{};
   instant AnsweredAt{};
   watch_counters Counters;
--- a/tests/store/simulated_store.h
+++ b/tests/store/simulated_store.h
@@ -101,10 +101,11 @@
 public:
   /// One way between the two.
   static constexpr duration Latency = std::chrono::milliseconds(5);
-  /// Limits of the real connection: for connecting, for an answer that is due at once, and for a
-  /// peer that doesn't acknowledge.
+  /// Limits of the real connection: for connecting, for an answer that is due at once, for a
+  /// list, and for a peer that doesn't acknowledge.
   static constexpr duration ConnectTime = std::chrono::milliseconds(1000);
   static constexpr duration CallTime = std::chrono::milliseconds(1500);
+  static constexpr duration ListTime = std::chrono::milliseconds(5000);
   static constexpr duration DeadPeerTime = std::chrono::milliseconds(3000);
 
   simulated_connection(simulated_clock &Clock, simulated_store &Store)
--- a/tests/store/simulated_store_support.cpp
+++ b/tests/store/simulated_store_support.cpp
@@ -171,7 +171,7 @@
 void simulated_connection::list(const std::string &Kind, const std::string &, freshness Freshness,
                                 std::function<void(list_answer)> Done) {
   start(
-      CallTime,
+      ListTime,
       [this, Kind, Freshness, Done] {
         deliver(Current, [Answer = Store.list(Kind, Freshness), Done] { Done(Answer); });
       },
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -108,6 +108,10 @@
     Store->write("servers");
     Store->write("config");
   }
+  /// One of the kinds wasn't read yet, so that the process forwards nothing.
+  bool incomplete() const {
+    return Process->Targets.View.Known == 0 || Process->Routes.View.Known == 0;
+  }
   bool current() const {
     return Process->Targets.View.Known == Store->lastChange("servers") &&
            Process->Routes.View.Known == Store->lastChange("config");
@@ -168,6 +172,18 @@
   }
 }
 
+TEST_P(view_after_a_silent_store, isCurrentOrIncompleteWheneverTheProcessStarted) {
+  for (duration Length = milliseconds(5); Length < seconds(10); Length += milliseconds(50)) {
+    reset();
+    Store->setSilent(true);
+    start();
+    pass(Length);
+    Store->setSilent(false);
+    pass(ContactTime);
+    EXPECT_TRUE(current() || incomplete()) << Length.count();
+  }
+}
+
 class view_during_loss_of_history : public view_of_changes {
 protected:
   /// Stale reads fall behind as soon as watches are cut.
@@ -208,6 +224,21 @@
   }
 }
 
+// Guards against a list that the store never received and that is waited for.
+TEST_P(view_during_loss_of_history, isCurrentIfTheStoreFallsSilentThen) {
+  for (duration Offset{}; Offset < seconds(1); Offset += milliseconds(5)) {
+    reset();
+    loseHistory();
+    pass(Lost + Offset);
+    Store->setSilent(true);
+    pass(milliseconds(500));
+    changeAll();
+    Store->setSilent(false);
+    pass(ContactTime);
+    EXPECT_TRUE(current()) << Offset.count();
+  }
+}
+
 class view_after_a_cut : public view_of_changes {
 protected:
   void setCut(bool IsCut) {
