Let the platform stand-in lose its history as the platform does

Change: watches can be muted, stale reads answered by old objects, and the history dropped while a watch waits; that watch is refused at the next change of its kind, or at the end of its wait, as seen on the platform.

Tests: store_of_one_target and store_that_loses_its_history play it against the real client over loopback, with its check beside a watch, at a store that refuses and at one that hangs.

--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -192,15 +192,17 @@
   }
 
   void handleList(const request &Request, const std::string &Kind) {
+    const bool IsStale = ReadsAreOld && Request.Query.contains("serializable");
+    const object_space &Source = IsStale ? OldObjects : Objects;
     const std::vector<object_space::object> Page =
-        Objects.list(Kind, readText(Request.Query, "after"), PageSize);
+        Source.list(Kind, readText(Request.Query, "after"), PageSize);
     json Items = json::array();
     for (const object_space::object &Object : Page)
       Items.push_back(toJson(Object));
-    const bool More = !Page.empty() && !Objects.list(Kind, Page.back().Name, 1).empty();
+    const bool More = !Page.empty() && !Source.list(Kind, Page.back().Name, 1).empty();
     reply(Request.Id,
           makeJsonResponse(
-              200, {{"items", Items}, {"has_more", More}, {"current_rev", Objects.revision()}}));
+              200, {{"items", Items}, {"has_more", More}, {"current_rev", Source.revision()}}));
   }
 
   void handleWatch(const request &Request, const std::string &Kind) {
@@ -208,8 +210,8 @@
     const auto Changes = Faults.HistoryGone ? std::nullopt : Objects.changes(Kind, After);
     if (!Changes) {
       reply(Request.Id, {410, {}, ""});
-    } else if (!Changes->empty()) {
-      reply(Request.Id, makeChanges(*Changes));
+    } else if (!Muted && !Changes->empty()) {
+      reply(Request.Id, makeChanges(*Changes, Objects.revision()));
     } else {
       constexpr std::uint64_t MaxWaitMs = 30'000;
       Watches.push_back({Request.Id, Kind, After});
@@ -219,11 +221,12 @@
     }
   }
 
-  response makeChanges(const std::vector<object_space::change> &Changes) const {
+  static response makeChanges(const std::vector<object_space::change> &Changes,
+                              std::uint64_t Revision) {
     json Events = json::array();
     for (const object_space::change &Change : Changes)
       Events.push_back({{"object", toJson(Change.Object)}, {"deleted", Change.Deleted}});
-    return makeJsonResponse(200, {{"events", Events}, {"current_rev", Objects.revision()}});
+    return makeJsonResponse(200, {{"events", Events}, {"current_rev", Revision}});
   }
 
   void handleWrite(const request &Request, const object_path &Path) {
@@ -240,7 +243,7 @@
     const response Answer = write(Request.Method, Path, Body);
     if (!Faults.LosePutAnswers)
       reply(Request.Id, Answer);
-    answerWatches();
+    answerWatches(Path.Kind);
   }
 
   response write(const std::string &Method, const object_path &Path, const json &Body) {
@@ -263,12 +266,18 @@
       Timers.start(Faults.DelayMs, [this, Id, Response] { Http.answer(Id, Response); });
   }
 
-  void answerWatches() {
+  /// Answers the watches that wait for a change of \p Kind.
+  void answerWatches(const std::string &Kind) {
+    if (Muted)
+      return;
     std::erase_if(Watches, [&](const waiting_watch &Watch) {
+      if (Watch.Kind != Kind)
+        return false;
       const auto Changes = Objects.changes(Watch.Kind, Watch.After);
       if (Changes && Changes->empty())
         return false;
-      reply(Watch.Request, Changes ? makeChanges(*Changes) : response{410, {}, ""});
+      reply(Watch.Request,
+            Changes ? makeChanges(*Changes, Objects.revision()) : response{410, {}, ""});
       return true;
     });
   }
@@ -277,7 +286,9 @@
     std::erase_if(Watches, [&](const waiting_watch &Watch) {
       if (Watch.Request != Id)
         return false;
-      reply(Id, makeChanges({}));
+      const bool Gone = !Objects.changes(Watch.Kind, Watch.After);
+      reply(Id, Gone ? response{410, {}, ""}
+                     : makeChanges({}, Muted ? Watch.After : Objects.revision()));
       return true;
     });
   }
@@ -308,7 +319,7 @@
     for (const json &Element : List.at("instances"))
       if (Element.is_object() && Element.contains("name") && Element["name"].is_string())
         Objects.create("instances", Element["name"], Element);
-    answerWatches();
+    answerWatches("instances");
   }
 
   platform_calls calls() {
@@ -330,6 +341,10 @@
   platform_faults Faults;
   platform_calls Calls;
   object_space Objects;
+  /// The objects at the last muteWatches().
+  object_space OldObjects;
+  bool ReadsAreOld = false;
+  bool Muted = false;
   std::vector<waiting_watch> Watches;
   timer_list Timers;
   http_service Http;
@@ -351,12 +366,24 @@
   json Spec = json::parse(SpecJson);
   if (!State->Objects.create(Kind, Name, Spec).Written)
     State->Objects.replace(Kind, Name, 0, std::move(Spec));
-  State->answerWatches();
+  State->answerWatches(Kind);
 }
 
 void platform_server::removeObject(const std::string &Kind, const std::string &Name) {
   State->Objects.remove(Kind, Name);
-  State->answerWatches();
+  State->answerWatches(Kind);
+}
+
+void platform_server::muteWatches() {
+  State->Muted = true;
+  State->OldObjects = State->Objects;
+}
+
+void platform_server::setStaleReads(bool AreOld) { State->ReadsAreOld = AreOld; }
+
+void platform_server::dropHistory() {
+  State->Muted = false;
+  State->Objects.compact();
 }
 
 void platform_server::endWatches() {
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -44,6 +44,13 @@
   /// Ends all waiting watches as if their time limit had passed.
   void endWatches();
 
+  /// Watches report nothing until dropHistory(); stale reads can be answered by what is there now.
+  void muteWatches();
+  /// Whether stale reads are answered by what was there at the last muteWatches().
+  void setStaleReads(bool AreOld);
+  /// Forgets all changes. A watch that waits from before is refused at the next change of its kind.
+  void dropHistory();
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- /dev/null
+++ b/tests/platform_adapter/http_object_api_test.cpp
@@ -0,0 +1,115 @@
+#include "platform/http_object_api.h"
+
+#include "standins/platform_server.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace briarpoint::platform {
+namespace {
+
+/// Limit of waits for what comes at once; long enough for a busy machine.
+constexpr duration Patience = std::chrono::seconds(20);
+
+/// A client of the platform stand-in, which holds one target's entry, on one loop.
+class store_of_one_target : public testing::Test {
+protected:
+  store_of_one_target() {
+    Store.writeObject("servers", "i-1", "{}");
+    Settings.Store = Store.address();
+    Settings.CallTime = Settings.ListTime = Patience;
+    Api = std::make_unique<http_object_api>(Loop, Settings);
+  }
+
+  template <typename T> T wait(const std::optional<T> &Answer) {
+    while (!Answer)
+      Loop.runOnce(true);
+    return *Answer;
+  }
+  list_answer list(freshness Freshness) {
+    std::optional<list_answer> Result;
+    Api->list("servers", "", Freshness, [&](list_answer Answer) { Result = std::move(Answer); });
+    return wait(Result);
+  }
+  void watch(std::uint64_t Revision) {
+    Watched.reset();
+    Api->watch("servers", Revision, Patience, [&](watch_answer Answer) { Watched = Answer; });
+    while (Store.calls().WaitingWatches == 0 && !Watched)
+      Loop.runOnce(true);
+  }
+  call_outcome check() {
+    std::optional<call_outcome> Result;
+    Api->check([&](call_outcome Outcome) { Result = Outcome; });
+    return wait(Result);
+  }
+
+  event_loop Loop;
+  standins::platform_server Store{Loop.base(), {*parseIpAddress("127.0.0.1"), 0}};
+  http_object_api_settings Settings;
+  std::unique_ptr<http_object_api> Api;
+  std::optional<watch_answer> Watched;
+};
+
+TEST_F(store_of_one_target, listsAndReportsTheNextChange) {
+  const list_answer List = list(freshness::Linearizable);
+  EXPECT_EQ(List.Outcome, call_outcome::Done);
+  ASSERT_EQ(List.Objects.size(), 1U);
+  watch(List.Revision);
+  Store.writeObject("config", "main", "{}");
+  Store.writeObject("servers", "i-1", R"({"state":"draining"})");
+  EXPECT_EQ(wait(Watched).Changes.size(), 1U);
+}
+
+// Guards against a check that disturbs the watch beside it, or ends like it.
+TEST_F(store_of_one_target, checksBesideAWatch) {
+  const list_answer List = list(freshness::Stale);
+  watch(List.Revision);
+  EXPECT_EQ(check(), call_outcome::Done);
+  EXPECT_EQ(check(), call_outcome::Done);
+  Store.writeObject("servers", "i-1", R"({"state":"draining"})");
+  EXPECT_EQ(wait(Watched).Outcome, call_outcome::Done);
+}
+
+TEST_F(store_of_one_target, tellsThatAStoreRefusesACheck) {
+  standins::platform_faults Faults;
+  Faults.OverRate = true;
+  Store.setFaults(Faults);
+  EXPECT_EQ(check(), call_outcome::Refused);
+}
+
+// Guards against a check that takes a store for one that works because it accepts connections.
+TEST_F(store_of_one_target, tellsThatASilentStoreDoesNotAnswerACheck) {
+  Settings.CallTime = std::chrono::milliseconds(50);
+  Api = std::make_unique<http_object_api>(Loop, Settings);
+  standins::platform_faults Faults;
+  Faults.Hang = true;
+  Store.setFaults(Faults);
+  EXPECT_EQ(check(), call_outcome::Unanswered);
+}
+
+class store_that_loses_its_history : public store_of_one_target {
+protected:
+  store_that_loses_its_history() {
+    Store.muteWatches();
+    Store.writeObject("servers", "i-1", R"({"state":"draining"})");
+    Store.setStaleReads(true);
+  }
+};
+
+// Guards against a stand-in that is kinder than the platform: its watches go on waiting without the
+// changes that it forgot (incident DRAIN).
+TEST_F(store_that_loses_its_history, refusesAWatchOnlyAtTheNextChange) {
+  const list_answer Old = list(freshness::Stale);
+  EXPECT_LT(Old.Revision, list(freshness::Linearizable).Revision);
+  watch(Old.Revision);
+  Store.dropHistory();
+  Store.writeObject("config", "main", "{}");
+  EXPECT_EQ(check(), call_outcome::Done);
+  EXPECT_FALSE(Watched);
+  Store.writeObject("servers", "i-2", "{}");
+  EXPECT_EQ(wait(Watched).Outcome, call_outcome::HistoryGone);
+}
+
+} // namespace
+} // namespace briarpoint::platform
