Close the soak's sockets in the forwarders that it starts

Forwarders inherited the sockets of the soak, so a connection that its proxy ended lived on in a process that held a copy: the forwarder at its other end noticed nothing. Resets by the proxy, an old fault of the soak, were affected too.

Change: a started process gets no descriptor above 2. A process that ends by itself is reported with its wait status.

--- a/soak/forwarder_process.cpp
+++ b/soak/forwarder_process.cpp
@@ -6,6 +6,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <system_error>
 
@@ -34,6 +35,8 @@
   posix_spawn_file_actions_addopen(&Actions, 1, LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    0644);
   posix_spawn_file_actions_adddup2(&Actions, 1, 2);
+  // A connection that the soak ends would live on in a process that inherited it.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
   const int Error = posix_spawn(&Process, Program.c_str(), &Actions, nullptr, Arguments, environ);
   posix_spawn_file_actions_destroy(&Actions);
   if (Error != 0)
@@ -52,7 +55,10 @@
     return Process != 0;
   const bool Killed = WIFSIGNALED(Status) && WTERMSIG(Status) == SIGKILL;
   const bool Ended = WIFEXITED(Status) && WEXITSTATUS(Status) == 0;
-  Crashes += Killed || Ended ? 0 : 1;
+  if (!Killed && !Ended) {
+    ++Crashes;
+    std::printf("%s: process %d ended by itself, wait status %d\n", Name.c_str(), Process, Status);
+  }
   Process = 0;
   return false;
 }
