Play losses of history in the soak, and judge drains

Change: the store loses its history now and then, in the platform's phases, and two nodes start when watches are cut. In the calm time at the end one host of each service drains without a successor; a flow that it takes 3 s later, when no node and no store was in trouble for 4 s, breaks a promise. What is new draws from a random sequence of its own, so that earlier seeds keep their other faults.

--- a/soak/host.cpp
+++ b/soak/host.cpp
@@ -46,6 +46,7 @@
     if (New || Flow.Initial != Packet->Sequence) {
       Flow = {Packet->Sequence, Packet->Sequence + 1, 0};
       ++Accepted;
+      Environment.OnAccepted(*this);
     }
     flow Opening{Flow.Initial, Flow.Initial + 1, 0};
     answer(*Packet, Opening, Synchronize | Acknowledge, "");
--- a/soak/host.h
+++ b/soak/host.h
@@ -12,6 +12,8 @@
 namespace briarpoint::soak {
 
 /// What all hosts have in common.
+class host;
+
 struct host_environment {
   event_loop &Loop;
   violations &Violations;
@@ -21,6 +23,8 @@
   std::map<ipv4_endpoint, std::string> Routes;
   /// Non-idempotent requests that have run, over all hosts.
   std::set<std::string> Ran;
+  /// A host took a new flow.
+  std::function<void(const host &)> OnAccepted;
 };
 
 /// A host of a service: takes flows and answers each request at once.
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -22,6 +22,17 @@
 constexpr duration CalmTime = seconds(12);
 /// Part of the calm time after which calls are counted.
 constexpr duration SettleTime = seconds(6);
+/// Part of the calm time after which hosts drain; all faults have ended by then.
+constexpr duration DrainStart = seconds(5);
+/// Time after which a draining host gets no new flows: drain_time of the forwarders.
+constexpr duration DrainTime = seconds(3);
+/// Phases of a loss of history, as the users' platform plays them.
+constexpr duration MutedTime = milliseconds(1200);
+constexpr duration CutTime = milliseconds(60);
+/// Nodes that are killed when the store cuts its watches.
+constexpr int KilledAtCut = 2;
+/// Mixed into the seed for what was added later.
+constexpr std::uint64_t HistorySeed = 0x6869'7374'6f72'79ULL;
 /// Bounds of the promises: a host that has stood still this long ago says nothing about a reset.
 constexpr duration ContactTime = seconds(4);
 /// A stall of this process that makes its hosts look silent; callers repeat after 200 ms.
@@ -31,7 +42,13 @@
 } // namespace
 
 scenario::scenario(const scenario_settings &AllSettings)
-    : Settings(AllSettings), Random(AllSettings.Seed), Hosts{Loop, Violations, PacketPort, {}, {}},
+    : Settings(AllSettings), Random(AllSettings.Seed),
+      HistoryRandom(AllSettings.Seed ^ HistorySeed), Hosts{Loop,
+                                                           Violations,
+                                                           PacketPort,
+                                                           {},
+                                                           {},
+                                                           [this](const host &Host) { judgeAccepted(Host); }},
       Callers{Loop,
               Random,
               Violations,
@@ -81,6 +98,7 @@
   Slot.Host.reset();
   Slot.Host = std::make_unique<host>(Hosts, Name, Number, Slot.Service, Slot.Address);
   Slot.Draining = false;
+  Slot.DrainedAt = Never;
   Slot.EndsAt = Never;
   registerHost(Slot);
 }
@@ -165,6 +183,7 @@
   if (Random.below(2) == 0) {
     // A planned end: the entry says so, the host goes on for a while.
     Slot.Draining = true;
+    Slot.DrainedAt = Now;
     registerHost(Slot);
     Slot.EndsAt = Now + milliseconds(3000 + Random.below(3000));
   } else {
@@ -200,6 +219,78 @@
   StoreBackAt = Clock.now() + milliseconds(500 + Random.below(4000));
 }
 
+void scenario::judgeAccepted(const host &Host) {
+  const auto Slot = std::find_if(Slots.begin(), Slots.end(), [&](const slot &Candidate) {
+    return Candidate.Host.get() == &Host;
+  });
+  if (Slot == Slots.end() || Slot->DrainedAt == Never || !Settings.JudgeTimes)
+    return;
+  const instant Now = Clock.now();
+  if (Now >= Slot->DrainedAt + DrainTime && Now >= TroubledAt + ContactTime && Now >= StalledUntil)
+    Violations.add("a draining host gets no new flows", Host.name());
+}
+
+void scenario::drainForGood() {
+  for (const char *Service : Services) {
+    const auto Slot = std::find_if(Slots.begin(), Slots.end(), [&](const slot &Candidate) {
+      return Candidate.Service == Service && Candidate.Host != nullptr && Candidate.EndsAt == Never;
+    });
+    if (Slot == Slots.end())
+      continue;
+    Slot->Draining = true;
+    Slot->DrainedAt = Clock.now();
+    registerHost(*Slot);
+  }
+  DrainedForGood = true;
+}
+
+void scenario::killSomeNodes() {
+  for (int I = 0; I < KilledAtCut; ++I) {
+    const node &Node = Nodes[HistoryRandom.below(Nodes.size())];
+    if (Node.RestoreAt == Never)
+      Node.Process->signal(SIGKILL);
+  }
+}
+
+void scenario::stepHistoryLoss() {
+  const instant Now = Clock.now();
+  if (Now < NextHistoryPhase)
+    return;
+  switch (HistoryPhase) {
+  case history_phase::Kept:
+    if (Now >= Start + Settings.Length - CalmTime)
+      return;
+    Store.muteWatches();
+    HistoryPhase = history_phase::Muted;
+    NextHistoryPhase = Now + MutedTime;
+    break;
+  case history_phase::Muted:
+    Store.setStaleReads(true);
+    for (const node &Node : Nodes)
+      Node.Proxy->endConnections();
+    killSomeNodes();
+    HistoryPhase = history_phase::Cut;
+    NextHistoryPhase = Now + CutTime;
+    break;
+  case history_phase::Cut:
+    Store.dropHistory();
+    HistoryPhase = history_phase::Dropped;
+    NextHistoryPhase = Now + milliseconds(1000 + HistoryRandom.below(3000));
+    break;
+  case history_phase::Dropped:
+    Store.setStaleReads(false);
+    HistoryPhase = history_phase::Kept;
+    NextHistoryPhase = Now + milliseconds(HistoryRandom.below(8000));
+  }
+}
+
+bool scenario::troubled() {
+  return StoreBackAt != Never || HistoryPhase != history_phase::Kept ||
+         std::any_of(Nodes.begin(), Nodes.end(), [](const node &Node) {
+           return Node.RestoreAt != Never || !Node.Process->running();
+         });
+}
+
 void scenario::injectFault() {
   switch (Random.below(8)) {
   case 0:
@@ -250,6 +341,9 @@
     StalledUntil = Now + ContactTime;
   LastTick = Now;
   restore();
+  stepHistoryLoss();
+  if (troubled())
+    TroubledAt = Now;
   const instant CalmAt = Start + Settings.Length - CalmTime;
   if (Now < CalmAt) {
     if (Now >= NextFault)
@@ -258,6 +352,8 @@
     SentAtCalm = Counters.Sent;
     ServedAtCalm = Counters.Served;
   }
+  if (!DrainedForGood && Now >= CalmAt + DrainStart)
+    drainForGood();
   if (Now >= Start + Settings.Length)
     Loop.stop();
 }
@@ -266,6 +362,7 @@
   Start = LastTick = Clock.now();
   // The processes start before the first fault.
   NextFault = Start + seconds(2);
+  NextHistoryPhase = Start + milliseconds(2000 + HistoryRandom.below(6000));
   Loop.onInterval(TickInterval, [this] { tick(); });
   // An interrupted run ends its processes, too.
   for (const int Signal : {SIGTERM, SIGINT})
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -47,6 +47,8 @@
     std::string Service;
     ipv4_endpoint Address;
     bool Draining = false;
+    /// When the store knew that the host is draining.
+    instant DrainedAt = Never;
     /// Never while the host takes flows.
     instant EndsAt = Never;
   };
@@ -69,9 +71,22 @@
   void restore();
   std::optional<ipv4_endpoint> choose(const flow_address &Flow);
   void judgeReset(const flow_address &Flow);
+  void judgeAccepted(const host &Host);
+  void stepHistoryLoss();
+  /// Kills processes of nodes that have no other trouble; they start again at once.
+  void killSomeNodes();
+  /// Has one host of each service drain, without a successor.
+  void drainForGood();
+  bool troubled();
+
+  /// How the store loses its history: watches report nothing; they are cut, and stale reads fall
+  /// behind; the history is gone; stale reads have caught up.
+  enum class history_phase : std::uint8_t { Kept, Muted, Cut, Dropped };
 
   scenario_settings Settings;
   seeded_random Random;
+  /// Of its own, so that seeds of earlier versions keep their other faults.
+  seeded_random HistoryRandom;
   steady_time_source Clock;
   event_loop Loop;
   violations Violations;
@@ -90,6 +105,11 @@
   instant StalledUntil{};
   instant NextFault{};
   instant StoreBackAt = Never;
+  history_phase HistoryPhase = history_phase::Kept;
+  instant NextHistoryPhase{};
+  /// When a node or the store was last in trouble.
+  instant TroubledAt{};
+  bool DrainedForGood = false;
   std::uint64_t ServedAtCalm = 0;
   std::uint64_t SentAtCalm = 0;
 };
--- a/soak/store_proxy.cpp
+++ b/soak/store_proxy.cpp
@@ -95,7 +95,9 @@
 void store_proxy::setFault(proxy_fault Fault) {
   State->Fault = Fault;
   if (Fault == proxy_fault::Reset)
-    State->Pairs.clear();
+    endConnections();
 }
 
+void store_proxy::endConnections() { State->Pairs.clear(); }
+
 } // namespace briarpoint::soak
--- a/soak/store_proxy.h
+++ b/soak/store_proxy.h
@@ -30,6 +30,9 @@
 
   void setFault(proxy_fault Fault);
 
+  /// Ends all connections.
+  void endConnections();
+
 private:
   struct state;
   std::unique_ptr<state> State;
