Don't take an empty answer for proof that nothing was missed

Cause: a packet with a token that the forwarder doesn't know has it ask the store at once. While the store was about to drop its history, its watches reported nothing; the forwarder took the empty answer for proof that the target doesn't exist and reset the flow 1.5 s later. The target had registered 3.5 s before.

Ruled out: a list that missed the target (the forwarder's last list was older than the registration); a removed target (the others went on using it).

Change: if a refresh reports nothing, a linearizable list follows, and only lists and reported changes count as complete. Normal refreshes are answered by changes and cost nothing more.

Test: watching_listed_objects.listsIfARefreshReportsNothing.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -31,6 +31,7 @@
     return;
   NextRefreshAt = Now + Settings.RefreshInterval;
   Confirmed = false;
+  Refreshing = true;
   restartWatch();
 }
 
@@ -126,14 +127,15 @@
   const std::vector<stored_object> Objects = std::exchange(Pages, {});
   // A stale list may be older than what is known already.
   if (PagesRevision < Revision) {
-    ListFreshness = freshness::Linearizable;
-    callAfter(duration::zero());
+    listNext();
     return;
   }
   Revision = PagesRevision;
   Confirmed = ListFreshness == freshness::Linearizable;
   NextKind = call_kind::Watch;
   Listener.onList(Objects, Revision);
+  if (Confirmed)
+    noteComplete();
   callAfter(duration::zero());
 }
 
@@ -142,9 +144,7 @@
   Calls.onAnswered(Call, Answer.Outcome, Answer.Revision, Answer.Changes.size());
   if (Answer.Outcome == call_outcome::HistoryGone) {
     ++Counters.Outcomes[static_cast<std::size_t>(Answer.Outcome)];
-    NextKind = call_kind::List;
-    ListFreshness = freshness::Linearizable;
-    callAfter(duration::zero());
+    listNext();
     return;
   }
   if (Answer.Outcome != call_outcome::Done) {
@@ -155,9 +155,26 @@
   if (std::exchange(Confirmed, true) || !Answer.Changes.empty())
     Revision = std::max(Revision, Answer.Revision);
   succeed();
-  if (!Answer.Changes.empty())
+  if (!Answer.Changes.empty()) {
     Listener.onChanges(Answer.Changes, Revision);
-  callAfter(Answer.Changes.empty() ? duration::zero() : Settings.Gather);
+    noteComplete();
+    callAfter(Settings.Gather);
+  } else if (Refreshing) {
+    listNext();
+  } else {
+    callAfter(duration::zero());
+  }
+}
+
+void object_watcher::listNext() {
+  NextKind = call_kind::List;
+  ListFreshness = freshness::Linearizable;
+  callAfter(duration::zero());
+}
+
+void object_watcher::noteComplete() {
+  CompleteAt = Scheduler.now();
+  Refreshing = false;
 }
 
 void object_watcher::fail(call_outcome Outcome) {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -56,17 +56,21 @@
   void start();
 
   /// Something suggests that changes were missed: asks the store at once, on a new connection,
-  /// instead of waiting for the watch in progress. A connection may go silent without an end. Does
-  /// nothing for RefreshInterval after the last time.
+  /// instead of waiting for the watch in progress. A connection may go silent without an end. If a
+  /// watch reports nothing, a list follows. Does nothing for RefreshInterval after the last time.
   void refresh();
 
   /// The store has cut watches: the next watch confirms the position, and one that goes on waiting
   /// is asked again.
   void distrust();
 
-  /// When the store answered last; what it reported then was complete.
+  /// When the store answered last.
   instant answeredAt() const { return AnsweredAt; }
 
+  /// When everything that the store had was known last. An empty answer to a watch doesn't show
+  /// that: the store may report nothing for a while before it drops its history.
+  instant completeAt() const { return CompleteAt; }
+
   /// The store's revision up to which everything was reported; 0 before the first list.
   std::uint64_t revision() const { return Revision; }
   const watch_counters &counters() const { return Counters; }
@@ -86,6 +90,8 @@
   /// \p Number is that of the call that was checked.
   void finishCheck(std::uint64_t Number, call_outcome Outcome);
   bool inProgress(std::uint64_t Number) const { return Calling && Number == CallNumber; }
+  void listNext();
+  void noteComplete();
   void fail(call_outcome Outcome);
   void succeed();
   void callAfter(duration Delay);
@@ -114,6 +120,9 @@
   std::uint64_t CallNumber = 0;
   instant NextRefreshAt{};
   instant AnsweredAt{};
+  instant CompleteAt{};
+  /// refresh() asked, and nothing was reported yet.
+  bool Refreshing = false;
   watch_counters Counters;
 };
 
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -209,7 +209,23 @@
   Watcher.refresh();
   EXPECT_EQ(Api.Cancelled, 2);
   answerWatch(1, 11);
-  EXPECT_EQ(Watcher.answeredAt(), Scheduler.Now);
+  EXPECT_EQ(Watcher.completeAt(), Scheduler.Now);
+}
+
+// Guards against an empty answer that is taken for proof that nothing was missed: while the store
+// drops its history its watches report nothing (soak, seed 14).
+TEST_F(watching_listed_objects, listsIfARefreshReportsNothing) {
+  Watcher.refresh();
+  const instant RefreshedAt = Scheduler.Now;
+  Scheduler.Now += milliseconds(300);
+  answerWatch(0, 10);
+  EXPECT_LT(Watcher.completeAt(), RefreshedAt);
+  Scheduler.runNext();
+  EXPECT_EQ(Api.Calls.front().Freshness, freshness::Linearizable);
+  answerList({object("b")}, 12);
+  EXPECT_EQ(Watcher.completeAt(), Scheduler.Now);
+  Scheduler.runNext();
+  EXPECT_GT(Api.Calls.front().Wait, seconds(20));
 }
 
 TEST_F(watching_listed_objects, watchesAgainAtOnceIfNothingChanged) {
