Pause between lists when each watch is refused

On the platform each call is priced and counts toward the rate of the whole fleet.

Change: the first list after a refused watch is made at once, as before; further ones without an answered watch in between come with the pauses of failed calls.

Test: watching_listed_objects.pausesBetweenListsThatNoWatchFollows (no pause at all before).

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -151,6 +151,7 @@
     fail(Answer.Outcome);
     return;
   }
+  Relists = 0;
   // A short watch without changes may have missed some; the next one asks for them again.
   if (std::exchange(Confirmed, true) || !Answer.Changes.empty())
     Revision = std::max(Revision, Answer.Revision);
@@ -169,7 +170,13 @@
 void object_watcher::listNext() {
   NextKind = call_kind::List;
   ListFreshness = freshness::Linearizable;
-  callAfter(duration::zero());
+  callAfter(Relists == 0 ? duration::zero() : pauseBeforeRetry(Settings.Backoff, Relists - 1));
+  ++Relists;
+}
+
+duration object_watcher::pauseBeforeRetry(const backoff_settings &Backoff, std::uint32_t Retry) {
+  const instant Now = Scheduler.now();
+  return *nextRetry(Backoff, Retry, Now, Never, Random) - Now;
 }
 
 void object_watcher::noteComplete() {
@@ -184,9 +191,8 @@
     Listener.onContact(false, Outcome);
   if (Outcome == call_outcome::Unanswered && Call.Type == store_call_type::Watch)
     Group.reportInterruption(*this);
-  const instant Now = Scheduler.now();
-  const backoff_settings &Backoff = Revision == 0 ? Settings.FirstBackoff : Settings.Backoff;
-  callAfter(*nextRetry(Backoff, Failures - 1, Now, Never, Random) - Now);
+  callAfter(
+      pauseBeforeRetry(Revision == 0 ? Settings.FirstBackoff : Settings.Backoff, Failures - 1));
 }
 
 void object_watcher::succeed() {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -92,6 +92,7 @@
   bool inProgress(std::uint64_t Number) const { return Calling && Number == CallNumber; }
   void listNext();
   void noteComplete();
+  duration pauseBeforeRetry(const backoff_settings &Backoff, std::uint32_t Retry);
   void fail(call_outcome Outcome);
   void succeed();
   void callAfter(duration Delay);
@@ -112,6 +113,8 @@
   std::uint64_t PagesRevision = 0;
   std::uint64_t Revision = 0;
   std::uint32_t Failures = 0;
+  /// Lists since a watch was answered.
+  std::uint32_t Relists = 0;
   bool Calling = false;
   /// The store had the history after Revision when it answered last.
   bool Confirmed = false;
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -250,6 +250,22 @@
   EXPECT_EQ(Listener.Events.back(), "list 1 at 25");
 }
 
+// Guards against a store that is called without pause while it refuses each watch (soak, seed 6).
+TEST_F(watching_listed_objects, pausesBetweenListsThatNoWatchFollows) {
+  duration Total{};
+  for (int I = 0; I < 40; ++I) {
+    failWatch(call_outcome::HistoryGone);
+    Total += Scheduler.runNext();
+    answerList({object("a")}, 10);
+    Scheduler.runNext();
+  }
+  EXPECT_GT(Total, seconds(30));
+  answerWatch(0, 10);
+  Scheduler.runNext();
+  failWatch(call_outcome::HistoryGone);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+}
+
 struct failure_case {
   const char *Name;
   call_outcome Outcome;
