Judge configurations in the soak

The soak didn't check that a configuration is in force everywhere. A route that callers don't use leads to another service in each version; a packet that opens a flow of it goes through each node every 500 ms, and the host that takes it is judged as drains are: 3 s after the change, and 4 s after all trouble. A version is written with the drains at the end.

--- a/soak/host.cpp
+++ b/soak/host.cpp
@@ -34,7 +34,7 @@
   }
   const flow_address Address{Packet->Source, Packet->Destination};
   const auto Route = Environment.Routes.find(Packet->Destination);
-  if (Route == Environment.Routes.end() || Route->second != Service) {
+  if (Route == Environment.Routes.end() || !Route->second.contains(Service)) {
     Environment.Violations.add("packets reach their own service only",
                                toString(Packet->Destination) + " at " + Service);
     return;
@@ -46,7 +46,7 @@
     if (New || Flow.Initial != Packet->Sequence) {
       Flow = {Packet->Sequence, Packet->Sequence + 1, 0};
       ++Accepted;
-      Environment.OnAccepted(*this);
+      Environment.OnAccepted(*this, Packet->Destination);
     }
     flow Opening{Flow.Initial, Flow.Initial + 1, 0};
     answer(*Packet, Opening, Synchronize | Acknowledge, "");
--- a/soak/host.h
+++ b/soak/host.h
@@ -19,12 +19,12 @@
   violations &Violations;
   /// Port at which callers receive.
   std::uint16_t CallerPort = 0;
-  /// Service that each service address may reach.
-  std::map<ipv4_endpoint, std::string> Routes;
+  /// Services that each service address may ever reach.
+  std::map<ipv4_endpoint, std::set<std::string>> Routes;
   /// Non-idempotent requests that have run, over all hosts.
   std::set<std::string> Ran;
-  /// A host took a new flow.
-  std::function<void(const host &)> OnAccepted;
+  /// A host took a new flow to a service address.
+  std::function<void(const host &, const ipv4_endpoint &)> OnAccepted;
 };
 
 /// A host of a service: takes flows and answers each request at once.
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -1,5 +1,8 @@
 #include "soak/scenario.h"
 
+#include "platform/packet_layout.h"
+#include "soak/flow_packet.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -38,6 +41,11 @@
 /// A stall of this process that makes its hosts look silent; callers repeat after 200 ms.
 constexpr duration StallTime = milliseconds(100);
 constexpr const char *Services[] = {"web", "mail"};
+/// Index of the route that each configuration leads to another service; callers don't use it.
+constexpr std::size_t MovingRoute = 2;
+constexpr duration ProbeInterval = milliseconds(500);
+/// Time after which a configuration is in force: configuration_time of the forwarders.
+constexpr duration ConfigurationTime = seconds(3);
 
 } // namespace
 
@@ -48,7 +56,10 @@
                                                            PacketPort,
                                                            {},
                                                            {},
-                                                           [this](const host &Host) { judgeAccepted(Host); }},
+                                                           [this](const host &Host,
+                                                                  const ipv4_endpoint &Service) {
+                                                             judgeAccepted(Host, Service);
+                                                           }},
       Callers{Loop,
               Random,
               Violations,
@@ -56,10 +67,12 @@
               PacketPort,
               [this](const flow_address &Flow) { return choose(Flow); },
               [this](const flow_address &Flow) { judgeReset(Flow); }},
-      Store(Loop.base(), toEndpoint(address(9, 0, 8500))) {
+      Store(Loop.base(), toEndpoint(address(9, 0, 8500))),
+      Prober(Loop, address(2, Settings.Callers, PacketPort), [](std::span<const std::byte>) {}) {
   std::filesystem::create_directories(Settings.Folder);
   for (std::size_t Service = 0; Service < 2; ++Service)
-    Hosts.Routes[address(8, Service, 443)] = Services[Service];
+    Hosts.Routes[address(8, Service, 443)] = {Services[Service]};
+  Hosts.Routes[address(8, MovingRoute, 443)] = {Services[0], Services[1]};
   writeRoutes();
   for (std::size_t I = 0; I < 2 * Settings.HostsPerService; ++I) {
     Slots.push_back({nullptr, Services[I % 2], address(3, I, HostPort), false, Never});
@@ -114,13 +127,17 @@
 
 void scenario::writeRoutes() {
   nlohmann::json Routes = nlohmann::json::array();
-  for (const auto &[Address, Service] : Hosts.Routes)
-    Routes.push_back({{"name", Service},
+  ++Version;
+  for (const auto &[Address, Allowed] : Hosts.Routes) {
+    const std::string Service = Allowed.size() == 1 ? *Allowed.begin() : movingService();
+    Routes.push_back({{"name", toString(Address)},
                       {"hostname", toString(toEndpoint(Address).Address)},
                       {"path_prefix", "/" + std::to_string(Address.Port) + "/"},
                       {"service", Service}});
+  }
+  RoutesWrittenAt = Clock.now();
   Store.writeObject("config", "main",
-                    nlohmann::json{{"version", ++Version}, {"routes", Routes}}.dump());
+                    nlohmann::json{{"version", Version}, {"routes", Routes}}.dump());
 }
 
 std::optional<ipv4_endpoint> scenario::choose(const flow_address &Flow) {
@@ -219,17 +236,48 @@
   StoreBackAt = Clock.now() + milliseconds(500 + Random.below(4000));
 }
 
-void scenario::judgeAccepted(const host &Host) {
+std::string scenario::movingService() const { return Services[Version % 2]; }
+
+bool scenario::calm() {
+  const instant Now = Clock.now();
+  return Now >= TroubledAt + ContactTime && Now >= StalledUntil;
+}
+
+void scenario::judgeAccepted(const host &Host, const ipv4_endpoint &Service) {
+  if (!Settings.JudgeTimes || !calm())
+    return;
+  judgeDrain(Host);
+  if (Service == address(8, MovingRoute, 443))
+    judgeRoute(Host);
+}
+
+void scenario::judgeDrain(const host &Host) {
   const auto Slot = std::find_if(Slots.begin(), Slots.end(), [&](const slot &Candidate) {
     return Candidate.Host.get() == &Host;
   });
-  if (Slot == Slots.end() || Slot->DrainedAt == Never || !Settings.JudgeTimes)
-    return;
-  const instant Now = Clock.now();
-  if (Now >= Slot->DrainedAt + DrainTime && Now >= TroubledAt + ContactTime && Now >= StalledUntil)
+  if (Slot != Slots.end() && Slot->DrainedAt != Never && Clock.now() >= Slot->DrainedAt + DrainTime)
     Violations.add("a draining host gets no new flows", Host.name());
 }
 
+void scenario::judgeRoute(const host &Host) {
+  if (Clock.now() >= RoutesWrittenAt + ConfigurationTime && Host.service() != movingService())
+    Violations.add("a configuration is in force everywhere", Host.name());
+}
+
+void scenario::probeRoutes() {
+  ProbePort = ProbePort == 60000 ? 1024 : ProbePort + 1;
+  flow_packet Opening;
+  Opening.Flags = platform::Synchronize;
+  Opening.Sequence = ProbePort;
+  Opening.Source = {address(2, Settings.Callers, 0).Address, ProbePort};
+  Opening.Destination = address(8, MovingRoute, 443);
+  for (const node &Node : Nodes) {
+    Prober.send(Node.Packets, encode(Opening));
+    // Another flow for each node.
+    ++Opening.Source.Address;
+  }
+}
+
 void scenario::drainForGood() {
   for (const char *Service : Services) {
     const auto Slot = std::find_if(Slots.begin(), Slots.end(), [&](const slot &Candidate) {
@@ -241,6 +289,7 @@
     Slot->DrainedAt = Clock.now();
     registerHost(*Slot);
   }
+  writeRoutes();
   DrainedForGood = true;
 }
 
@@ -352,6 +401,10 @@
     SentAtCalm = Counters.Sent;
     ServedAtCalm = Counters.Served;
   }
+  if (Now >= NextProbe) {
+    probeRoutes();
+    NextProbe = Now + ProbeInterval;
+  }
   if (!DrainedForGood && Now >= CalmAt + DrainStart)
     drainForGood();
   if (Now >= Start + Settings.Length)
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -4,6 +4,7 @@
 #include "base/seeded_random.h"
 #include "io/time_source.h"
 #include "soak/caller.h"
+#include "soak/datagram_socket.h"
 #include "soak/forwarder_process.h"
 #include "soak/host.h"
 #include "soak/store_proxy.h"
@@ -71,7 +72,15 @@
   void restore();
   std::optional<ipv4_endpoint> choose(const flow_address &Flow);
   void judgeReset(const flow_address &Flow);
-  void judgeAccepted(const host &Host);
+  void judgeAccepted(const host &Host, const ipv4_endpoint &Service);
+  void judgeDrain(const host &Host);
+  void judgeRoute(const host &Host);
+  /// Nothing was in trouble for as long as everybody needs to know what happened meanwhile.
+  bool calm();
+  /// Service to which the moving route leads.
+  std::string movingService() const;
+  /// Opens a flow of the moving route through each node.
+  void probeRoutes();
   void stepHistoryLoss();
   /// Kills processes of nodes that have no other trouble; they start again at once.
   void killSomeNodes();
@@ -97,8 +106,13 @@
   std::vector<slot> Slots;
   std::vector<node> Nodes;
   std::vector<std::unique_ptr<caller>> Crowd;
+  /// Sends the packets that open flows of the moving route; what it receives is ignored.
+  datagram_socket Prober;
+  std::uint16_t ProbePort = 1024;
+  instant NextProbe{};
   std::uint64_t NextNumber = 1;
   std::uint64_t Version = 0;
+  instant RoutesWrittenAt{};
   instant Start{};
   instant LastTick{};
   /// This process stood still, so its hosts answered late.
