Notice answers to watches that were lost on a live connection

Cause: the last of the places where silence is trusted. The store had taken the watch in and answered it, but the answer was lost between the two while the connection lived on. The platform says that such a connection returns nothing further. A forwarder waited for up to 31.5 s.

Ruled out: a watch that never arrived (its check was answered); a position that was dropped (the other forwarders were told of the change from the same revision).

Change: the check after a long watch asks for the changes since a known revision, by a stale watch that doesn't wait, and is repeated every 3 s (contact time less 1 s). If it reports changes or a lost history and the watch doesn't within 300 ms, the watch is asked again. Later checks that fail are repeated sooner and don't drop the watch. A call that reached its time limit doesn't count as an interruption any more: while the store was silent it had healthy watches asked again.

--- a/src/forwarder/watch_settings.cpp
+++ b/src/forwarder/watch_settings.cpp
@@ -18,6 +18,9 @@
 /// Calls that fit into the contact time besides a pause: one that was in progress when the trouble
 /// ended and fails after 1.8 s at most, and a short watch and a list that are answered.
 constexpr duration CallReserve = std::chrono::milliseconds(2200);
+/// What fits into the contact time besides the interval of checks: a check that reports a change,
+/// and the short watch that fetches it 300 ms later.
+constexpr duration CheckReserve = std::chrono::milliseconds(1000);
 
 object_watcher_settings watchSettings(duration ChangeTime, double GatherShare,
                                       duration ContactTime) {
@@ -27,6 +30,7 @@
   Result.FirstBackoff.Limit = std::min(Pause, Result.FirstBackoff.Limit);
   Result.Gather =
       std::min({std::chrono::duration_cast<duration>(ChangeTime * GatherShare), Pause, MaxGather});
+  Result.CheckInterval = std::max(ContactTime - CheckReserve, Result.ProbeWait);
   return Result;
 }
 
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -91,9 +91,11 @@
   virtual void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
                      std::function<void(watch_answer)> Done) = 0;
 
-  /// Asks the store for an answer that is due at once, over a connection of its own, to learn
-  /// whether it takes calls in. Costs as much as a stale read. Drops an earlier check.
-  virtual void check(std::function<void(call_outcome)> Done) = 0;
+  /// Asks for the changes since \p Revision that may be seconds old, without waiting for any, over
+  /// a connection of its own: to learn whether the store takes calls in and whether a watch that
+  /// waits has missed something. Costs a tenth of a watch. Drops an earlier check.
+  virtual void check(const std::string &Kind, std::uint64_t Revision,
+                     std::function<void(watch_answer)> Done) = 0;
 
   /// Drops the calls in progress and their connections.
   virtual void cancel() = 0;
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -56,6 +56,8 @@
 void object_watcher::noteAsked(store_call_type Type, std::uint64_t FromRevision, duration Wait) {
   const instant Now = Scheduler.now();
   Calling = true;
+  Checked = false;
+  CheckedRevision = Revision;
   ++CallNumber;
   Call = {Type, FromRevision, Now, Now + Wait};
   Calls.onAsked(Call);
@@ -74,10 +76,7 @@
   }
   // Until the first list nothing is forwarded, so nothing can go wrong by old data; at a start, the
   // check is made only if the list isn't answered soon.
-  Scheduler.runAt(Scheduler.now() + Settings.ProbeWait, [this, Number = CallNumber] {
-    if (inProgress(Number))
-      startCheck();
-  });
+  checkAfter(Settings.ProbeWait);
 }
 
 void object_watcher::startWatch() {
@@ -95,16 +94,40 @@
 
 void object_watcher::startCheck() {
   ++Counters.Checks;
-  Api.check([this, Number = CallNumber](call_outcome Outcome) { finishCheck(Number, Outcome); });
+  Api.check(Kind, CheckedRevision, [this, Number = CallNumber](const watch_answer &Answer) {
+    finishCheck(Number, Answer);
+  });
 }
 
-void object_watcher::finishCheck(std::uint64_t Number, call_outcome Outcome) {
-  if (Outcome == call_outcome::Done || !inProgress(Number))
+void object_watcher::checkAfter(duration Delay) {
+  Scheduler.runAt(Scheduler.now() + Delay, [this, Number = CallNumber] {
+    if (inProgress(Number))
+      startCheck();
+  });
+}
+
+void object_watcher::finishCheck(std::uint64_t Number, const watch_answer &Answer) {
+  if (!inProgress(Number))
     return;
-  Api.cancel();
-  Calling = false;
-  Calls.onAnswered(Call, call_outcome::Unconfirmed, 0, 0);
-  fail(call_outcome::Unconfirmed);
+  const bool HistoryGone = Answer.Outcome == call_outcome::HistoryGone;
+  const bool Answered = HistoryGone || Answer.Outcome == call_outcome::Done;
+  if (!Answered && !Checked) {
+    Api.cancel();
+    Calling = false;
+    Calls.onAnswered(Call, call_outcome::Unconfirmed, 0, 0);
+    fail(call_outcome::Unconfirmed);
+    return;
+  }
+  Checked = true;
+  // A watch that is distrusted is asked again already.
+  if (Call.Type != store_call_type::Watch || !Confirmed)
+    return;
+  CheckedRevision = std::max(CheckedRevision, Answer.Revision);
+  // The answer to the watch may be on its way.
+  if (HistoryGone || !Answer.Changes.empty())
+    distrust();
+  else
+    checkAfter(Answered ? Settings.CheckInterval : Settings.ProbeWait);
 }
 
 void object_watcher::finishList(list_answer Answer) {
@@ -189,7 +212,8 @@
   Confirmed = false;
   if (Failures++ == 0)
     Listener.onContact(false, Outcome);
-  if (Outcome == call_outcome::Unanswered && Call.Type == store_call_type::Watch)
+  // A call that reached its time limit says nothing about the watches of others.
+  if (Outcome == call_outcome::Unanswered && Scheduler.now() < Call.WaitsUntil)
     Group.reportInterruption(*this);
   callAfter(
       pauseBeforeRetry(Revision == 0 ? Settings.FirstBackoff : Settings.Backoff, Failures - 1));
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -27,6 +27,8 @@
   /// Time between a change and the next watch. Changes come in groups, and each watch that returns
   /// is a priced call; a change may take 3 s to be in force.
   duration Gather = std::chrono::milliseconds(250);
+  /// Time between checks of a watch that waits: the answer to it may have been lost.
+  duration CheckInterval = std::chrono::milliseconds(3000);
   /// Least time between two refreshes; each is a priced call.
   duration RefreshInterval = std::chrono::milliseconds(2000);
   /// Pauses after failed calls before the first list, without which nothing can be served, and
@@ -38,10 +40,12 @@
 /// Keeps a listener up to date about all objects of one kind: a list, then watches. After a gap in
 /// the store's history it lists again. It never reports an older list than what it reported before.
 ///
-/// A watch without an answer may mean that nothing changed, but two other things as well:
+/// A watch without an answer may mean that nothing changed, but other things as well:
 /// - The store never received it: a store that hangs keeps connections alive. So each watch that
 ///   may wait long is followed by a check; if that isn't answered, the watch is dropped as if it
 ///   had failed. The same holds for a list.
+/// - Its answer was lost on a connection that lives on. So checks follow at an interval; one that
+///   reports changes which the watch didn't has it asked again.
 /// - The history after its revision was dropped when it waited already; the store refuses such a
 ///   watch only at the next change. So after a stale list, a failure or an interruption, a short
 ///   watch goes first, and the long one is asked from the same revision.
@@ -85,10 +89,12 @@
   void restartWatch();
   void finishList(list_answer Answer);
   void finishWatch(const watch_answer &Answer);
-  /// Asks whether the store takes calls in, now that the call in progress was sent.
+  /// Asks whether the store takes calls in, and has changes that the watch in progress didn't
+  /// report.
   void startCheck();
   /// \p Number is that of the call that was checked.
-  void finishCheck(std::uint64_t Number, call_outcome Outcome);
+  void finishCheck(std::uint64_t Number, const watch_answer &Answer);
+  void checkAfter(duration Delay);
   bool inProgress(std::uint64_t Number) const { return Calling && Number == CallNumber; }
   void listNext();
   void noteComplete();
@@ -120,6 +126,11 @@
   bool Confirmed = false;
   /// The call in progress, or the last one.
   store_call Call;
+  /// The store answered a check since that call was sent.
+  bool Checked = false;
+  /// Revision up to which checks found no change; it moves on, so that its history isn't dropped
+  /// while a watch waits.
+  std::uint64_t CheckedRevision = 0;
   std::uint64_t CallNumber = 0;
   instant NextRefreshAt{};
   instant AnsweredAt{};
--- a/tests/forwarder/operations_page_test.cpp
+++ b/tests/forwarder/operations_page_test.cpp
@@ -18,7 +18,7 @@
             std::function<void(list_answer)>) override {}
   void watch(const std::string &, std::uint64_t, duration,
              std::function<void(watch_answer)>) override {}
-  void check(std::function<void(call_outcome)>) override {}
+  void check(const std::string &, std::uint64_t, std::function<void(watch_answer)>) override {}
   void cancel() override {}
 };
 
--- a/tests/platform_adapter/http_object_api_test.cpp
+++ b/tests/platform_adapter/http_object_api_test.cpp
@@ -34,13 +34,14 @@
   }
   void watch(std::uint64_t Revision) {
     Watched.reset();
-    Api->watch("servers", Revision, Patience, [&](watch_answer Answer) { Watched = Answer; });
+    Api->watch("servers", Revision, Patience,
+               [&](const watch_answer &Answer) { Watched = Answer; });
     while (Store.calls().WaitingWatches == 0 && !Watched)
       Loop.runOnce(true);
   }
-  call_outcome check() {
-    std::optional<call_outcome> Result;
-    Api->check([&](call_outcome Outcome) { Result = Outcome; });
+  watch_answer check(std::uint64_t Revision) {
+    std::optional<watch_answer> Result;
+    Api->check("servers", Revision, [&](watch_answer Answer) { Result = std::move(Answer); });
     return wait(Result);
   }
 
@@ -65,17 +66,18 @@
 TEST_F(store_of_one_target, checksBesideAWatch) {
   const list_answer List = list(freshness::Stale);
   watch(List.Revision);
-  EXPECT_EQ(check(), call_outcome::Done);
-  EXPECT_EQ(check(), call_outcome::Done);
+  EXPECT_EQ(check(List.Revision).Outcome, call_outcome::Done);
+  EXPECT_TRUE(check(List.Revision).Changes.empty());
   Store.writeObject("servers", "i-1", R"({"state":"draining"})");
   EXPECT_EQ(wait(Watched).Outcome, call_outcome::Done);
+  EXPECT_EQ(check(List.Revision).Changes.size(), 1U);
 }
 
 TEST_F(store_of_one_target, tellsThatAStoreRefusesACheck) {
   standins::platform_faults Faults;
   Faults.OverRate = true;
   Store.setFaults(Faults);
-  EXPECT_EQ(check(), call_outcome::Refused);
+  EXPECT_EQ(check(1).Outcome, call_outcome::Refused);
 }
 
 // Guards against a check that takes a store for one that works because it accepts connections.
@@ -85,7 +87,7 @@
   standins::platform_faults Faults;
   Faults.Hang = true;
   Store.setFaults(Faults);
-  EXPECT_EQ(check(), call_outcome::Unanswered);
+  EXPECT_EQ(check(1).Outcome, call_outcome::Unanswered);
 }
 
 class store_that_loses_its_history : public store_of_one_target {
@@ -105,7 +107,7 @@
   watch(Old.Revision);
   Store.dropHistory();
   Store.writeObject("config", "main", "{}");
-  EXPECT_EQ(check(), call_outcome::Done);
+  EXPECT_EQ(check(Old.Revision).Outcome, call_outcome::HistoryGone);
   EXPECT_FALSE(Watched);
   Store.writeObject("servers", "i-2", "{}");
   EXPECT_EQ(wait(Watched).Outcome, call_outcome::HistoryGone);
--- a/tests/store/simulated_store.h
+++ b/tests/store/simulated_store.h
@@ -78,6 +78,8 @@
 
   std::vector<object_change> changesAfter(const std::string &Kind, std::uint64_t Revision) const;
   list_answer list(const std::string &Kind, freshness Freshness) const;
+  /// Answers a stale watch that doesn't wait.
+  watch_answer check(const std::string &Kind, std::uint64_t After) const;
   /// Answers at once or keeps the watch waiting.
   void receiveWatch(const waiting_watch &Watch);
   void answerWatch(const waiting_watch &Watch) const;
@@ -113,6 +115,8 @@
 
   /// The path is cut; a connection that is open ends if that lasts for DeadPeerTime.
   void setCut(bool IsCut);
+  /// Answers don't arrive, and the connection lives on.
+  void setAnswersLost(bool AreLost) { AnswersLost = AreLost; }
   /// The open connection carries nothing any more; a new one works.
   void silence();
 
@@ -120,7 +124,8 @@
             std::function<void(list_answer)> Done) override;
   void watch(const std::string &Kind, std::uint64_t Revision, duration Wait,
              std::function<void(watch_answer)> Done) override;
-  void check(std::function<void(call_outcome)> Done) override;
+  void check(const std::string &Kind, std::uint64_t Revision,
+             std::function<void(watch_answer)> Done) override;
   void cancel() override;
 
 private:
@@ -144,6 +149,7 @@
   std::uint64_t Checks = 0;
   bool Connected = false;
   bool Cut = false;
+  bool AnswersLost = false;
   bool Silent = false;
 };
 
--- a/tests/store/simulated_store_support.cpp
+++ b/tests/store/simulated_store_support.cpp
@@ -81,6 +81,19 @@
   return Result;
 }
 
+watch_answer simulated_store::check(const std::string &Kind, std::uint64_t After) const {
+  if (Refusing)
+    return {call_outcome::Refused, {}, 0};
+  if (After < HistoryBegin)
+    return {call_outcome::HistoryGone, {}, 0};
+  watch_answer Result{call_outcome::Done, {}, Revision};
+  for (const change &Change : Changes)
+    if (!Muted && Change.Kind == Kind && Change.Revision > After &&
+        Change.At + StaleLag <= Clock.now())
+      Result.Changes.push_back({{"x", 1, Change.Revision, {}}, false});
+  return Result;
+}
+
 void simulated_store::receiveWatch(const waiting_watch &Watch) {
   const bool Gone = Watch.Revision < HistoryBegin;
   if (Gone || (!Muted && !changesAfter(Watch.Kind, Watch.Revision).empty()))
@@ -157,7 +170,7 @@
 
 void simulated_connection::deliver(std::uint64_t Call, std::function<void()> Answer) {
   Clock.after(Latency, [this, Call, Answer = std::move(Answer)] {
-    if (Call != Current || Silent || Cut)
+    if (Call != Current || Silent || Cut || AnswersLost)
       return;
     Current = 0;
     Answer();
@@ -191,23 +204,22 @@
       [Done] { Done({}); });
 }
 
-void simulated_connection::check(std::function<void(call_outcome)> Done) {
+void simulated_connection::check(const std::string &Kind, std::uint64_t Revision,
+                                 std::function<void(watch_answer)> Done) {
   const std::uint64_t Check = ++Checks;
-  const auto Answer = [this, Check, Done](call_outcome Outcome) {
+  const auto Answer = [this, Check, Done](const watch_answer &Result) {
     if (Check == Checks)
-      Done(Outcome);
+      Done(Result);
   };
   if (Silent || Cut) {
-    Clock.after(Silent ? CallTime : ConnectTime, [Answer] { Answer(call_outcome::Unanswered); });
+    Clock.after(Silent ? CallTime : ConnectTime, [Answer] { Answer({}); });
     return;
   }
-  Clock.after(2 * Latency, [this, Answer] {
-    if (Store.Silent)
-      Clock.after(CallTime, [Answer] { Answer(call_outcome::Unanswered); });
+  Clock.after(2 * Latency, [this, Kind, Revision, Answer] {
+    if (Store.Silent || AnswersLost)
+      Clock.after(CallTime, [Answer] { Answer({}); });
     else
-      Clock.after(Latency, [this, Answer] {
-        Answer(Store.Refusing ? call_outcome::Refused : call_outcome::Done);
-      });
+      Clock.after(Latency, [Result = Store.check(Kind, Revision), Answer] { Answer(Result); });
   });
 }
 
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -274,6 +274,24 @@
   }
 }
 
+class view_after_lost_answers : public view_of_changes {};
+
+// Guards against an answer that is lost on a connection that lives on.
+TEST_P(view_after_lost_answers, isCurrentWheneverTheyWereLost) {
+  for (duration Length = milliseconds(50); Length < seconds(8); Length += milliseconds(50)) {
+    reset();
+    Process->Targets.Connection.setAnswersLost(true);
+    Process->Routes.Connection.setAnswersLost(true);
+    pass(Length / 2);
+    changeAll();
+    pass(Length / 2);
+    Process->Targets.Connection.setAnswersLost(false);
+    Process->Routes.Connection.setAnswersLost(false);
+    pass(ContactTime);
+    EXPECT_TRUE(current()) << Length.count();
+  }
+}
+
 class view_after_refusals : public view_of_changes {};
 
 TEST_P(view_after_refusals, isCurrentHoweverLongTheyLasted) {
@@ -298,6 +316,7 @@
 INSTANTIATE_TEST_SUITE_P(platform, view_during_loss_of_history, testing::ValuesIn(Platforms),
                          nameOf);
 INSTANTIATE_TEST_SUITE_P(platform, view_after_a_cut, testing::ValuesIn(Platforms), nameOf);
+INSTANTIATE_TEST_SUITE_P(platform, view_after_lost_answers, testing::ValuesIn(Platforms), nameOf);
 INSTANTIATE_TEST_SUITE_P(platform, view_after_refusals, testing::ValuesIn(Platforms), nameOf);
 
 } // namespace
