End watches before the store's history does

Found with the new log lines: a watch of 27 to 30 s outlives the 20 s for which the store keeps changes. If any object of another kind changed meanwhile, it ends with history_gone and everything is listed again. At the size planned for, a configuration of 0.35 MB every 28 s is 12.5 KB/s of the 17 KB/s that a node may spend, besides 6.6 KB/s for its changes.

Change: a watch waits for 0.9 of the history at most (new setting history_time, from platform.history_s), so that it ends with an empty answer whose revision the next one asks from. An empty answer of a long watch is current: it waited at the store all the while, and is cut when the store drops its history.

--- a/src/forwarder/forwarder_settings.cpp
+++ b/src/forwarder/forwarder_settings.cpp
@@ -43,6 +43,8 @@
   Root.optional("configuration_time",
                 bounded<duration>{Result.ConfigurationTime, milliseconds(0), hours(1)});
   Root.optional("contact_time", bounded<duration>{Result.ContactTime, milliseconds(100), hours(1)});
+  Root.optional("history_time",
+                bounded<duration>{Result.HistoryTime, milliseconds(100), hours(168)});
   Root.optional("max_flows", bounded<std::uint32_t>{Result.MaxFlows, 100, MaxFlowsLimit});
   Root.requiredValue("listen", [&](const document_value &Value, const std::string &Path) {
     readListen(Value, Path, Findings, Result);
--- a/src/forwarder/forwarder_settings.h
+++ b/src/forwarder/forwarder_settings.h
@@ -34,6 +34,8 @@
   /// Time after the end of trouble, of the store or of the path to it, until what was missed must
   /// be known.
   duration ContactTime = std::chrono::seconds(4);
+  /// Time for which the store keeps the changes that a watch may ask for.
+  duration HistoryTime = std::chrono::seconds(20);
   std::uint32_t MaxFlows = 20'000;
   log_level LogLevel = log_level::Info;
 
--- a/src/forwarder/watch_settings.cpp
+++ b/src/forwarder/watch_settings.cpp
@@ -21,10 +21,16 @@
 /// What fits into the contact time besides the interval of checks: a check that reports a change,
 /// and the short watch that fetches it 300 ms later.
 constexpr duration CheckReserve = std::chrono::milliseconds(1000);
+/// Part of the history's time for which a watch waits. A longer one ends when the changes since its
+/// revision are gone, although none concerned it, and all objects have to be listed.
+constexpr double HistoryShare = 0.9;
 
 object_watcher_settings watchSettings(duration ChangeTime, double GatherShare,
-                                      duration ContactTime) {
+                                      const forwarder_settings &Settings) {
   object_watcher_settings Result;
+  const duration ContactTime = Settings.ContactTime;
+  Result.Wait = std::min(Result.Wait,
+                         std::chrono::duration_cast<duration>(Settings.HistoryTime * HistoryShare));
   const duration Pause = std::max(ContactTime - CallReserve, Result.FirstBackoff.Base);
   Result.Backoff.Limit = std::min(Pause, MaxRetryPause);
   Result.FirstBackoff.Limit = std::min(Pause, Result.FirstBackoff.Limit);
@@ -37,11 +43,11 @@
 } // namespace
 
 object_watcher_settings registrationWatchSettings(const forwarder_settings &Settings) {
-  return watchSettings(Settings.DrainTime, RegistrationGather, Settings.ContactTime);
+  return watchSettings(Settings.DrainTime, RegistrationGather, Settings);
 }
 
 object_watcher_settings configurationWatchSettings(const forwarder_settings &Settings) {
-  return watchSettings(Settings.ConfigurationTime, ConfigurationGather, Settings.ContactTime);
+  return watchSettings(Settings.ConfigurationTime, ConfigurationGather, Settings);
 }
 
 } // namespace briarpoint
--- a/tests/forwarder/forwarder_settings_test.cpp
+++ b/tests/forwarder/forwarder_settings_test.cpp
@@ -60,6 +60,9 @@
       {"{{#bounds.contact_ms}}", ""},
       {"{{bounds.contact_ms}}", "6000"},
       {"{{/bounds.contact_ms}}", ""},
+      {"{{#platform.history_s}}", ""},
+      {"{{platform.history_s}}", "12"},
+      {"{{/platform.history_s}}", ""},
       {"{{listen.datagram_addr}}", "10.0.0.2:1"},
       {"{{listen.ready_addr}}", "10.0.0.2:2"},
       {"{{ip}}", "10.0.0.2"}};
@@ -75,6 +78,7 @@
   EXPECT_EQ(Settings.DrainTime, std::chrono::seconds(5));
   EXPECT_EQ(Settings.ConfigurationTime, std::chrono::seconds(4));
   EXPECT_EQ(Settings.ContactTime, std::chrono::seconds(6));
+  EXPECT_EQ(Settings.HistoryTime, std::chrono::seconds(12));
 }
 
 } // namespace
