Limit the interval of checks

A platform with a long contact time would have had no check before a watch ends: the interval followed from the contact time alone. A comment on how a limit was chosen is gone.

Test: watch_settings.keepsPausesWithinTheContactTime demands two intervals within a watch; it fails without the limit for a contact time of 60 s (59 s against 9 s).

--- a/src/forwarder/watch_settings.cpp
+++ b/src/forwarder/watch_settings.cpp
@@ -11,10 +11,10 @@
 /// target goes on accepting flows, so they are gathered for longer than configurations.
 constexpr double RegistrationGather = 0.4;
 constexpr double ConfigurationGather = 0.1;
-/// Limits of pauses, however much time a platform leaves: news of targets that crashed shouldn't
-/// wait longer. The grown deployments were played with these.
+/// Limits, however much time a platform leaves: news of targets that crashed shouldn't wait longer.
 constexpr duration MaxGather = std::chrono::seconds(2);
 constexpr duration MaxRetryPause = std::chrono::seconds(5);
+constexpr duration MaxCheckInterval = std::chrono::seconds(5);
 /// Calls that fit into the contact time besides a pause: one that was in progress when the trouble
 /// ended and fails after 1.8 s at most, and a short watch and a list that are answered.
 constexpr duration CallReserve = std::chrono::milliseconds(2200);
@@ -36,7 +36,7 @@
   Result.FirstBackoff.Limit = std::min(Pause, Result.FirstBackoff.Limit);
   Result.Gather =
       std::min({std::chrono::duration_cast<duration>(ChangeTime * GatherShare), Pause, MaxGather});
-  Result.CheckInterval = std::max(ContactTime - CheckReserve, Result.ProbeWait);
+  Result.CheckInterval = std::clamp(ContactTime - CheckReserve, Result.ProbeWait, MaxCheckInterval);
   return Result;
 }
 
--- a/tests/forwarder/watch_settings_test.cpp
+++ b/tests/forwarder/watch_settings_test.cpp
@@ -49,6 +49,8 @@
     EXPECT_LT(Settings.Gather, Case.ChangeTime);
     EXPECT_LE(Settings.CheckInterval, Case.ContactTime);
     EXPECT_GT(Settings.Backoff.Limit, duration::zero());
+    // A watch that ends before its first check at the interval is checked only once.
+    EXPECT_LT(Settings.CheckInterval, Settings.Wait / 2);
   }
 }
 
