Split the soak's loss of history and the tests of checks into files of their own

Nothing changes but names and places: history_loss holds the phases that the scenario had, watcher_support.h the fakes of the watcher's tests, watch_check_test.cpp those of checks and interruptions.

--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -29,14 +29,10 @@
 constexpr duration DrainStart = seconds(5);
 /// Time after which a draining host gets no new flows: drain_time of the forwarders.
 constexpr duration DrainTime = seconds(3);
-/// Phases of a loss of history, as the users' platform plays them.
-constexpr duration MutedTime = milliseconds(1200);
-constexpr duration CutTime = milliseconds(60);
 /// Nodes that are killed when the store cuts its watches.
 constexpr int KilledAtCut = 2;
-/// Mixed into the seed for what was added later.
-constexpr std::uint64_t HistorySeed = 0x6869'7374'6f72'79ULL;
-/// Bounds of the promises: a host that has stood still this long ago says nothing about a reset.
+/// Bounds of the promises: a host that has stood still this long ago says nothing about a reset,
+/// and after trouble a node must know what it missed.
 constexpr duration ContactTime = seconds(4);
 /// A stall of this process that makes its hosts look silent; callers repeat after 200 ms.
 constexpr duration StallTime = milliseconds(100);
@@ -50,16 +46,15 @@
 } // namespace
 
 scenario::scenario(const scenario_settings &AllSettings)
-    : Settings(AllSettings), Random(AllSettings.Seed),
-      HistoryRandom(AllSettings.Seed ^ HistorySeed), Hosts{Loop,
-                                                           Violations,
-                                                           PacketPort,
-                                                           {},
-                                                           {},
-                                                           [this](const host &Host,
-                                                                  const ipv4_endpoint &Service) {
-                                                             judgeAccepted(Host, Service);
-                                                           }},
+    : Settings(AllSettings),
+      Random(AllSettings.Seed), Hosts{Loop,
+                                      Violations,
+                                      PacketPort,
+                                      {},
+                                      {},
+                                      [this](const host &Host, const ipv4_endpoint &Service) {
+                                        judgeAccepted(Host, Service);
+                                      }},
       Callers{Loop,
               Random,
               Violations,
@@ -68,6 +63,7 @@
               [this](const flow_address &Flow) { return choose(Flow); },
               [this](const flow_address &Flow) { judgeReset(Flow); }},
       Store(Loop.base(), toEndpoint(address(9, 0, 8500))),
+      HistoryLoss(Store, AllSettings.Seed, [this](random_source &Choice) { cutWatches(Choice); }),
       Prober(Loop, address(2, Settings.Callers, PacketPort), [](std::span<const std::byte>) {}) {
   std::filesystem::create_directories(Settings.Folder);
   for (std::size_t Service = 0; Service < 2; ++Service)
@@ -293,48 +289,19 @@
   DrainedForGood = true;
 }
 
-void scenario::killSomeNodes() {
+void scenario::cutWatches(random_source &Choice) {
+  for (const node &Node : Nodes)
+    Node.Proxy->endConnections();
+  // Processes that start just now list and watch before the history is gone.
   for (int I = 0; I < KilledAtCut; ++I) {
-    const node &Node = Nodes[HistoryRandom.below(Nodes.size())];
+    const node &Node = Nodes[Choice.below(Nodes.size())];
     if (Node.RestoreAt == Never)
       Node.Process->signal(SIGKILL);
   }
 }
 
-void scenario::stepHistoryLoss() {
-  const instant Now = Clock.now();
-  if (Now < NextHistoryPhase)
-    return;
-  switch (HistoryPhase) {
-  case history_phase::Kept:
-    if (Now >= Start + Settings.Length - CalmTime)
-      return;
-    Store.muteWatches();
-    HistoryPhase = history_phase::Muted;
-    NextHistoryPhase = Now + MutedTime;
-    break;
-  case history_phase::Muted:
-    Store.setStaleReads(true);
-    for (const node &Node : Nodes)
-      Node.Proxy->endConnections();
-    killSomeNodes();
-    HistoryPhase = history_phase::Cut;
-    NextHistoryPhase = Now + CutTime;
-    break;
-  case history_phase::Cut:
-    Store.dropHistory();
-    HistoryPhase = history_phase::Dropped;
-    NextHistoryPhase = Now + milliseconds(1000 + HistoryRandom.below(3000));
-    break;
-  case history_phase::Dropped:
-    Store.setStaleReads(false);
-    HistoryPhase = history_phase::Kept;
-    NextHistoryPhase = Now + milliseconds(HistoryRandom.below(8000));
-  }
-}
-
 bool scenario::troubled() {
-  return StoreBackAt != Never || HistoryPhase != history_phase::Kept ||
+  return StoreBackAt != Never || HistoryLoss.inProgress() ||
          std::any_of(Nodes.begin(), Nodes.end(), [](const node &Node) {
            return Node.RestoreAt != Never || !Node.Process->running();
          });
@@ -390,7 +357,7 @@
     StalledUntil = Now + ContactTime;
   LastTick = Now;
   restore();
-  stepHistoryLoss();
+  HistoryLoss.step(Now, Now < Start + Settings.Length - CalmTime);
   if (troubled())
     TroubledAt = Now;
   const instant CalmAt = Start + Settings.Length - CalmTime;
@@ -415,7 +382,7 @@
   Start = LastTick = Clock.now();
   // The processes start before the first fault.
   NextFault = Start + seconds(2);
-  NextHistoryPhase = Start + milliseconds(2000 + HistoryRandom.below(6000));
+  HistoryLoss.start(Start);
   Loop.onInterval(TickInterval, [this] { tick(); });
   // An interrupted run ends its processes, too.
   for (const int Signal : {SIGTERM, SIGINT})
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -6,6 +6,7 @@
 #include "soak/caller.h"
 #include "soak/datagram_socket.h"
 #include "soak/forwarder_process.h"
+#include "soak/history_loss.h"
 #include "soak/host.h"
 #include "soak/store_proxy.h"
 #include "standins/platform_server.h"
@@ -81,21 +82,15 @@
   std::string movingService() const;
   /// Opens a flow of the moving route through each node.
   void probeRoutes();
-  void stepHistoryLoss();
-  /// Kills processes of nodes that have no other trouble; they start again at once.
-  void killSomeNodes();
+  /// Ends all connections to the store and kills processes of nodes that have no other trouble;
+  /// they start again at once.
+  void cutWatches(random_source &Choice);
   /// Has one host of each service drain, without a successor.
   void drainForGood();
   bool troubled();
 
-  /// How the store loses its history: watches report nothing; they are cut, and stale reads fall
-  /// behind; the history is gone; stale reads have caught up.
-  enum class history_phase : std::uint8_t { Kept, Muted, Cut, Dropped };
-
   scenario_settings Settings;
   seeded_random Random;
-  /// Of its own, so that seeds of earlier versions keep their other faults.
-  seeded_random HistoryRandom;
   steady_time_source Clock;
   event_loop Loop;
   violations Violations;
@@ -103,6 +98,7 @@
   host_environment Hosts;
   caller_environment Callers;
   standins::platform_server Store;
+  history_loss HistoryLoss;
   std::vector<slot> Slots;
   std::vector<node> Nodes;
   std::vector<std::unique_ptr<caller>> Crowd;
@@ -119,8 +115,6 @@
   instant StalledUntil{};
   instant NextFault{};
   instant StoreBackAt = Never;
-  history_phase HistoryPhase = history_phase::Kept;
-  instant NextHistoryPhase{};
   /// When a node or the store was last in trouble.
   instant TroubledAt{};
   bool DrainedForGood = false;
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -1,10 +1,4 @@
-#include "store/object_watcher.h"
-
-#include "base/seeded_random.h"
-
-#include <gtest/gtest.h>
-
-#include <deque>
+#include "watcher_support.h"
 
 namespace briarpoint {
 namespace {
@@ -12,123 +6,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A call that the watcher made and that wasn't answered yet.
-struct pending_call {
-  /// Empty for a watch.
-  std::function<void(list_answer)> List;
-  std::function<void(watch_answer)> Watch;
-  std::string After;
-  freshness Freshness = freshness::Linearizable;
-  std::uint64_t Revision = 0;
-  duration Wait{};
-};
-
-class fake_api final : public object_api {
-public:
-  void list(const std::string &, const std::string &After, freshness Freshness,
-            std::function<void(list_answer)> Done) override {
-    Calls.push_back({std::move(Done), nullptr, After, Freshness, 0, {}});
-  }
-  void watch(const std::string &, std::uint64_t Revision, duration Wait,
-             std::function<void(watch_answer)> Done) override {
-    Calls.push_back({nullptr, std::move(Done), "", freshness::Linearizable, Revision, Wait});
-  }
-  void check(const std::string &, std::uint64_t Revision,
-             std::function<void(watch_answer)> Done) override {
-    CheckedRevision = Revision;
-    Check = std::move(Done);
-  }
-  void cancel() override {
-    Calls.clear();
-    Check = nullptr;
-    ++Cancelled;
-  }
-  pending_call take() {
-    pending_call Result = std::move(Calls.front());
-    Calls.pop_front();
-    return Result;
-  }
-  std::deque<pending_call> Calls;
-  std::function<void(watch_answer)> Check;
-  std::uint64_t CheckedRevision = 0;
-  int Cancelled = 0;
-};
-
-class fake_scheduler final : public scheduler {
-public:
-  instant now() override { return Now; }
-  void runAt(instant Time, std::function<void()> NewAction) override {
-    DueAt = Time;
-    Action = std::move(NewAction);
-  }
-  /// Lets the time pass until the action is due, and runs it. Returns how long that took.
-  duration runNext() {
-    const instant Before = Now;
-    Now = std::max(Now, DueAt);
-    std::exchange(Action, nullptr)();
-    return Now - Before;
-  }
-  instant Now{seconds(5)};
-  instant DueAt{};
-  std::function<void()> Action;
-};
-
-class recorder final : public object_listener {
-public:
-  void onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) override {
-    Events.push_back("list " + std::to_string(Objects.size()) + " at " + std::to_string(Revision));
-  }
-  void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) override {
-    Events.push_back("changes " + std::to_string(Changes.size()) + " at " +
-                     std::to_string(Revision));
-  }
-  void onContact(bool InContact, call_outcome) override {
-    Events.push_back(InContact ? "regained" : "lost");
-  }
-  std::vector<std::string> Events;
-};
-
-/// Writes down what was asked, and how the calls ended.
-class call_recorder final : public call_listener {
-public:
-  void onAsked(const store_call &Call) override {
-    Lines.push_back("asked " + std::string(toString(Call.Type)) + " from " +
-                    std::to_string(Call.Revision));
-  }
-  void onAnswered(const store_call &Call, call_outcome Outcome, std::uint64_t Revision,
-                  std::size_t Objects) override {
-    Lines.push_back(std::string(toString(Outcome)) + " after " + std::to_string(Call.Revision) +
-                    ": " + std::to_string(Objects) + " at " + std::to_string(Revision));
-  }
-  void onDropped(const store_call &Call) override {
-    Lines.push_back("dropped " + std::to_string(Call.Revision));
-  }
-  std::vector<std::string> Lines;
-};
-
-stored_object object(const std::string &Name) { return {Name, 1, 1, {}}; }
-
-class watching_objects : public testing::Test {
-protected:
-  watching_objects() { Watcher.start(); }
-
-  void answerList(std::vector<stored_object> Objects, std::uint64_t Revision, bool More = false) {
-    Api.take().List({call_outcome::Done, std::move(Objects), More, Revision});
-  }
-  void answerWatch(std::size_t Changes, std::uint64_t Revision) {
-    Api.take().Watch({call_outcome::Done, std::vector<object_change>(Changes), Revision});
-  }
-  void failWatch(call_outcome Outcome) { Api.take().Watch({Outcome, {}, 0}); }
-
-  fake_api Api;
-  fake_scheduler Scheduler;
-  recorder Listener;
-  call_recorder Calls;
-  watch_group Group;
-  seeded_random Random{20261204};
-  object_watcher Watcher{"things", {}, Api, Listener, Calls, Group, Scheduler, Random};
-};
-
 // Guards against changes between the pages of a list that no watch reports.
 TEST_F(watching_objects, readsAllPagesAndWatchesFromTheFirstOne) {
   EXPECT_EQ(Api.Calls.front().Freshness, freshness::Stale);
@@ -179,18 +56,6 @@
   EXPECT_TRUE(Api.Check);
 }
 
-/// A list was read, its position is confirmed, and a long watch waits.
-class watching_listed_objects : public watching_objects {
-protected:
-  watching_listed_objects() {
-    answerList({object("a")}, 10);
-    Scheduler.runNext();
-    answerWatch(0, 10);
-    Scheduler.runNext();
-    Listener.Events.clear();
-  }
-};
-
 // Guards against one priced call for each of many changes that come together.
 TEST_F(watching_listed_objects, gathersChangesBeforeTheNextWatch) {
   answerWatch(2, 12);
@@ -328,70 +193,6 @@
   EXPECT_EQ(Counters.Outcomes[static_cast<std::size_t>(call_outcome::Refused)], 1U);
 }
 
-// Guards against a watch that the store never received and that is waited for (incident DRAIN).
-TEST_F(watching_listed_objects, asksAgainIfTheStoreDoesNotAnswerACheck) {
-  Api.Check({call_outcome::Unanswered, {}, 0});
-  EXPECT_EQ(Api.Cancelled, 1);
-  EXPECT_EQ(Listener.Events, std::vector<std::string>{"lost"});
-  EXPECT_LE(Scheduler.runNext(), object_watcher_settings().FirstBackoff.Base);
-  EXPECT_EQ(Api.Calls.front().Revision, 10U);
-  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
-}
-
-// Guards against watches that work and are dropped: checks that are answered or come too late.
-TEST_F(watching_listed_objects, keepsAWatchWhoseCheckTellsNothingBad) {
-  Api.Check({call_outcome::Done, {}, 10});
-  EXPECT_EQ(Api.Calls.size(), 1U);
-  const auto Late = Api.Check;
-  answerWatch(1, 11);
-  Late({call_outcome::Unanswered, {}, 0});
-  EXPECT_TRUE(Api.Calls.empty());
-  Scheduler.runNext();
-  Late({call_outcome::Unanswered, {}, 0});
-  EXPECT_EQ(Api.Calls.size(), 1U);
-  EXPECT_EQ(Api.Cancelled, 0);
-}
-
-// Guards against an answer that was lost on a connection that lives on (soak, seeds 337 and 345).
-TEST_F(watching_listed_objects, asksAgainIfACheckReportsWhatTheWatchDidNot) {
-  Api.Check({call_outcome::Done, {}, 17});
-  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().CheckInterval);
-  EXPECT_EQ(Api.CheckedRevision, 17U);
-  Api.Check({call_outcome::Done, std::vector<object_change>(1), 18});
-  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeWait);
-  EXPECT_EQ(Api.Cancelled, 1);
-  EXPECT_EQ(Api.Calls.front().Revision, 10U);
-  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
-}
-
-// Guards against a watch that works and is dropped because a later check wasn't answered.
-TEST_F(watching_listed_objects, checksSoonerAfterALaterCheckThatFailed) {
-  Api.Check({call_outcome::Done, {}, 10});
-  Scheduler.runNext();
-  Api.Check({call_outcome::Unanswered, {}, 0});
-  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeWait);
-  EXPECT_EQ(Api.Calls.size(), 1U);
-  EXPECT_EQ(Api.Cancelled, 0);
-}
-
-// Guards against a watch that was asked just after the store had cut the others.
-TEST_F(watching_listed_objects, asksAgainAfterAnotherWatcherWasInterrupted) {
-  Watcher.distrust();
-  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeWait);
-  EXPECT_EQ(Api.Cancelled, 1);
-  EXPECT_EQ(Api.Calls.front().Revision, 10U);
-  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
-}
-
-// Guards against the same after a pause in which changes are gathered.
-TEST_F(watching_listed_objects, confirmsThePositionIfAnotherWatcherWasInterruptedMeanwhile) {
-  answerWatch(1, 11);
-  Watcher.distrust();
-  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().Gather);
-  EXPECT_EQ(Api.Calls.front().Revision, 11U);
-  EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeWait);
-}
-
 // Guards against a watch that waits for a change it will never report, without a line that tells
 // from which revision it was asked (incident DRAIN).
 TEST_F(watching_listed_objects, tellsWhatItAskedAndHowThatEnded) {
--- /dev/null
+++ b/tests/store/watcher_support.h
@@ -0,0 +1,145 @@
+#ifndef BRIARPOINT_TESTS_STORE_WATCHER_SUPPORT_H
+#define BRIARPOINT_TESTS_STORE_WATCHER_SUPPORT_H
+
+#include "base/seeded_random.h"
+#include "store/object_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace briarpoint {
+
+/// A call that the watcher made and that wasn't answered yet.
+struct pending_call {
+  /// Empty for a watch.
+  std::function<void(list_answer)> List;
+  std::function<void(watch_answer)> Watch;
+  std::string After;
+  freshness Freshness = freshness::Linearizable;
+  std::uint64_t Revision = 0;
+  duration Wait{};
+};
+
+class fake_api final : public object_api {
+public:
+  void list(const std::string &, const std::string &After, freshness Freshness,
+            std::function<void(list_answer)> Done) override {
+    Calls.push_back({std::move(Done), nullptr, After, Freshness, 0, {}});
+  }
+  void watch(const std::string &, std::uint64_t Revision, duration Wait,
+             std::function<void(watch_answer)> Done) override {
+    Calls.push_back({nullptr, std::move(Done), "", freshness::Linearizable, Revision, Wait});
+  }
+  void check(const std::string &, std::uint64_t Revision,
+             std::function<void(watch_answer)> Done) override {
+    CheckedRevision = Revision;
+    Check = std::move(Done);
+  }
+  void cancel() override {
+    Calls.clear();
+    Check = nullptr;
+    ++Cancelled;
+  }
+  pending_call take() {
+    pending_call Result = std::move(Calls.front());
+    Calls.pop_front();
+    return Result;
+  }
+  std::deque<pending_call> Calls;
+  std::function<void(watch_answer)> Check;
+  std::uint64_t CheckedRevision = 0;
+  int Cancelled = 0;
+};
+
+class fake_scheduler final : public scheduler {
+public:
+  instant now() override { return Now; }
+  void runAt(instant Time, std::function<void()> NewAction) override {
+    DueAt = Time;
+    Action = std::move(NewAction);
+  }
+  /// Lets the time pass until the action is due, and runs it. Returns how long that took.
+  duration runNext() {
+    const instant Before = Now;
+    Now = std::max(Now, DueAt);
+    std::exchange(Action, nullptr)();
+    return Now - Before;
+  }
+  instant Now{std::chrono::seconds(5)};
+  instant DueAt{};
+  std::function<void()> Action;
+};
+
+class recorder final : public object_listener {
+public:
+  void onList(const std::vector<stored_object> &Objects, std::uint64_t Revision) override {
+    Events.push_back("list " + std::to_string(Objects.size()) + " at " + std::to_string(Revision));
+  }
+  void onChanges(const std::vector<object_change> &Changes, std::uint64_t Revision) override {
+    Events.push_back("changes " + std::to_string(Changes.size()) + " at " +
+                     std::to_string(Revision));
+  }
+  void onContact(bool InContact, call_outcome) override {
+    Events.push_back(InContact ? "regained" : "lost");
+  }
+  std::vector<std::string> Events;
+};
+
+/// Writes down what was asked, and how the calls ended.
+class call_recorder final : public call_listener {
+public:
+  void onAsked(const store_call &Call) override {
+    Lines.push_back("asked " + std::string(toString(Call.Type)) + " from " +
+                    std::to_string(Call.Revision));
+  }
+  void onAnswered(const store_call &Call, call_outcome Outcome, std::uint64_t Revision,
+                  std::size_t Objects) override {
+    Lines.push_back(std::string(toString(Outcome)) + " after " + std::to_string(Call.Revision) +
+                    ": " + std::to_string(Objects) + " at " + std::to_string(Revision));
+  }
+  void onDropped(const store_call &Call) override {
+    Lines.push_back("dropped " + std::to_string(Call.Revision));
+  }
+  std::vector<std::string> Lines;
+};
+
+inline stored_object object(const std::string &Name) { return {Name, 1, 1, {}}; }
+
+class watching_objects : public testing::Test {
+protected:
+  watching_objects() { Watcher.start(); }
+
+  void answerList(std::vector<stored_object> Objects, std::uint64_t Revision, bool More = false) {
+    Api.take().List({call_outcome::Done, std::move(Objects), More, Revision});
+  }
+  void answerWatch(std::size_t Changes, std::uint64_t Revision) {
+    Api.take().Watch({call_outcome::Done, std::vector<object_change>(Changes), Revision});
+  }
+  void failWatch(call_outcome Outcome) { Api.take().Watch({Outcome, {}, 0}); }
+
+  fake_api Api;
+  fake_scheduler Scheduler;
+  recorder Listener;
+  call_recorder Calls;
+  watch_group Group;
+  seeded_random Random{20261204};
+  object_watcher Watcher{"things", {}, Api, Listener, Calls, Group, Scheduler, Random};
+};
+
+/// A list was read, its position is confirmed, and a long watch waits.
+class watching_listed_objects : public watching_objects {
+protected:
+  watching_listed_objects() {
+    answerList({object("a")}, 10);
+    Scheduler.runNext();
+    answerWatch(0, 10);
+    Scheduler.runNext();
+    Listener.Events.clear();
+  }
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_TESTS_STORE_WATCHER_SUPPORT_H
