Move byte_reader and byte_writer from src/peer to src/base

Cause: messages between forwarders are written with them as well, and the core may not depend on the adapters of briarpointd. No change of content.

--- a/src/peer/byte_reader.h
+++ b/src/base/byte_reader.h
@@ -1,5 +1,5 @@
-#ifndef BRIARPOINT_PEER_BYTE_READER_H
-#define BRIARPOINT_PEER_BYTE_READER_H
+#ifndef BRIARPOINT_BASE_BYTE_READER_H
+#define BRIARPOINT_BASE_BYTE_READER_H
 
 #include <cstddef>
 #include <cstdint>
@@ -29,4 +29,4 @@
 
 } // namespace briarpoint
 
-#endif // BRIARPOINT_PEER_BYTE_READER_H
+#endif // BRIARPOINT_BASE_BYTE_READER_H
--- a/src/peer/byte_writer.h
+++ b/src/base/byte_writer.h
@@ -1,5 +1,5 @@
-#ifndef BRIARPOINT_PEER_BYTE_WRITER_H
-#define BRIARPOINT_PEER_BYTE_WRITER_H
+#ifndef BRIARPOINT_BASE_BYTE_WRITER_H
+#define BRIARPOINT_BASE_BYTE_WRITER_H
 
 #include <cstddef>
 #include <cstdint>
@@ -24,4 +24,4 @@
 
 } // namespace briarpoint
 
-#endif // BRIARPOINT_PEER_BYTE_WRITER_H
+#endif // BRIARPOINT_BASE_BYTE_WRITER_H
--- a/src/peer/message_authenticator.cpp
+++ b/src/peer/message_authenticator.cpp
@@ -1,9 +1,9 @@
 #include "peer/message_authenticator.h"
 
+#include "base/byte_reader.h"
+#include "base/byte_writer.h"
 #include "base/findings_error.h"
 #include "base/hash.h"
-#include "peer/byte_reader.h"
-#include "peer/byte_writer.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -1,8 +1,8 @@
 // The decoder. The encoder is in peer_encoder.cpp.
 #include "peer/peer_codec.h"
 
+#include "base/byte_reader.h"
 #include "base/findings_error.h"
-#include "peer/byte_reader.h"
 #include "peer/message_layout.h"
 
 #include <msgpack.hpp>
--- a/src/peer/peer_encoder.cpp
+++ b/src/peer/peer_encoder.cpp
@@ -1,4 +1,4 @@
-#include "peer/byte_writer.h"
+#include "base/byte_writer.h"
 #include "peer/message_layout.h"
 #include "peer/peer_codec.h"
 
