Read the store's answers in MessagePack

Cause: the bytes that tell each forwarder of targets and routes determine how soon it serves after a start of all instances, and are the first limit at 1,900 instances.

Ruled out: nlohmann's reader of MessagePack, which recurses: an entry of another writer that is nested deep enough would overflow the stack.

--- a/fuzz/store_answer_fuzz.cpp
+++ b/fuzz/store_answer_fuzz.cpp
@@ -4,8 +4,8 @@
 
 #include <cstdint>
 
-/// Parses the input as a list answer and a watch answer of the store, and the objects in them.
-/// Malformed objects may only throw findings_error.
+/// Parses the input as a list answer and a watch answer of the store in both encodings, and the
+/// objects in them. Malformed objects may only throw findings_error.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data, std::size_t Size) {
   using namespace briarpoint;
   const platform::store_object_format Format;
@@ -19,11 +19,15 @@
     } catch (const findings_error &) { // Malformed.
     }
   };
-  const http_answer Answer{
-      http_answer::outcome::Answered, 200, {}, {reinterpret_cast<const char *>(Data), Size}};
-  for (const stored_object &Object : platform::parseListAnswer(Answer).Objects)
-    Read(Object);
-  for (const object_change &Change : platform::parseWatchAnswer(Answer).Changes)
-    Read(Change.Object);
+  for (const char *Type : {"application/json", "application/msgpack"}) {
+    const http_answer Answer{http_answer::outcome::Answered,
+                             200,
+                             {{"content-type", Type}},
+                             {reinterpret_cast<const char *>(Data), Size}};
+    for (const stored_object &Object : platform::parseListAnswer(Answer).Objects)
+      Read(Object);
+    for (const object_change &Change : platform::parseWatchAnswer(Answer).Changes)
+      Read(Change.Object);
+  }
   return 0;
 }
--- a/tests/platform_adapter/store_object_format_test.cpp
+++ b/tests/platform_adapter/store_object_format_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/http_object_api.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace briarpoint::platform {
 namespace {
@@ -127,6 +128,33 @@
   return {http_answer::outcome::Answered, Status, {}, Body};
 }
 
+/// Returns an answer whose body is encoded in MessagePack.
+http_answer packedAnswer(const std::vector<std::uint8_t> &Body) {
+  return {http_answer::outcome::Answered,
+          200,
+          {{"content-type", "application/msgpack"}},
+          std::string(Body.begin(), Body.end())};
+}
+
+http_answer packedAnswer(const nlohmann::json &Body) {
+  return packedAnswer(nlohmann::json::to_msgpack(Body));
+}
+
+/// Returns whether both are the same value other than an array or a table.
+bool isSameScalar(const document_value &A, const document_value &B) {
+  return std::visit(
+      [&](const auto &Content) {
+        using type = std::decay_t<decltype(Content)>;
+        const auto *Other = std::get_if<type>(&B.Content);
+        if constexpr (std::is_same_v<type, document_value::array> ||
+                      std::is_same_v<type, document_value::table>)
+          return false;
+        else
+          return Other != nullptr && *Other == Content;
+      },
+      A.Content);
+}
+
 class store_answers : public testing::Test {};
 
 // Guards against treating an answer that can't be parsed as an empty list.
@@ -166,6 +194,70 @@
   EXPECT_EQ(Answer.Revision, 8U);
 }
 
+// Guards against answers in MessagePack that give other objects than the same answers in JSON.
+TEST_F(store_answers, areTheSameInBothEncodings) {
+  const std::string Text = R"({"items":[
+      {"meta":{"name":"i-1","revision":4,"created":2,"finalizers":[],"deleting":false},
+       "spec":{"service":"a","slots":2,"load":0.5,"offset":-3,"none":null,"on":true}}],
+      "has_more":false,"current_rev":18446744073709551615})";
+  const list_answer FromText = parseListAnswer(answer(200, Text));
+  const list_answer FromPacked = parseListAnswer(packedAnswer(nlohmann::json::parse(Text)));
+  ASSERT_EQ(FromPacked.Outcome, call_outcome::Done);
+  EXPECT_EQ(FromPacked.Revision, FromText.Revision);
+  ASSERT_EQ(FromPacked.Objects.size(), 1U);
+  EXPECT_EQ(FromPacked.Objects[0].Name, FromText.Objects[0].Name);
+  const auto &Fields = std::get<document_value::table>(FromPacked.Objects[0].Value.Content);
+  const auto &Expected = std::get<document_value::table>(FromText.Objects[0].Value.Content);
+  ASSERT_EQ(Fields.size(), Expected.size());
+  for (std::size_t I = 0; I < Fields.size(); ++I)
+    EXPECT_TRUE(std::any_of(Expected.begin(), Expected.end(), [&](const document_field &Field) {
+      return Field.Name == Fields[I].Name && isSameScalar(Field.Value, Fields[I].Value);
+    })) << Fields[I].Name;
+}
+
+// Guards against a crash or an endless loop on bytes that are cut off or not MessagePack.
+TEST_F(store_answers, inMessagePackThatAreCutOffAreMalformed) {
+  const std::vector<std::uint8_t> Body = nlohmann::json::to_msgpack(
+      nlohmann::json::parse(R"({"items":[],"has_more":false,"current_rev":7})"));
+  ASSERT_EQ(parseListAnswer(packedAnswer(Body)).Outcome, call_outcome::Done);
+  for (std::size_t Size = 0; Size < Body.size(); ++Size) {
+    SCOPED_TRACE(Size);
+    EXPECT_EQ(parseListAnswer(packedAnswer(std::vector(Body.begin(), Body.begin() + Size))).Outcome,
+              call_outcome::Malformed);
+  }
+  std::vector<std::uint8_t> Longer = Body;
+  Longer.push_back(0xc0);
+  EXPECT_EQ(parseListAnswer(packedAnswer(Longer)).Outcome, call_outcome::Malformed);
+}
+
+// Guards against one writer's entry that makes the whole list unreadable, or overflows the stack:
+// values nested beyond any limit, and names that are not strings.
+TEST_F(store_answers, inMessagePackKeepEntriesBesideOneThatIsNestedDeep) {
+  constexpr std::size_t Depth = 200'000;
+  constexpr std::uint8_t ArrayOfOne = 0x91;
+  constexpr std::uint8_t MapOfOne = 0x81;
+  constexpr std::uint8_t Nil = 0xc0;
+  for (const std::uint8_t Opening : {ArrayOfOne, MapOfOne}) {
+    nlohmann::json Document = nlohmann::json::parse(R"({"items":[
+        {"meta":{"name":"i-1","revision":4,"created":2},"spec":"@"},
+        {"meta":{"name":"i-2","revision":5,"created":3},"spec":{"a":1}}],
+        "has_more":false,"current_rev":8})");
+    std::vector<std::uint8_t> Body = nlohmann::json::to_msgpack(Document);
+    const auto Place = std::find(Body.begin(), Body.end(), '@') - 1;
+    // A map holds the nested value as its name, and a value.
+    std::vector<std::uint8_t> Nested(Depth, Opening);
+    Nested.push_back(Nil);
+    if (Opening == MapOfOne)
+      Nested.insert(Nested.end(), Depth, Nil);
+    const auto At = Body.erase(Place, Place + 2);
+    Body.insert(At, Nested.begin(), Nested.end());
+    const list_answer Answer = parseListAnswer(packedAnswer(Body));
+    ASSERT_EQ(Answer.Outcome, call_outcome::Done) << static_cast<int>(Opening);
+    ASSERT_EQ(Answer.Objects.size(), 2U);
+    EXPECT_EQ(Answer.Objects[1].Name, "i-2");
+  }
+}
+
 // Guards against changes that are reordered, and against deletions that are read as updates.
 TEST_F(store_answers, reportChangesInOrder) {
   const watch_answer Answer = parseWatchAnswer(answer(200, R"({"events":[
