--- a/src/ctl/daemon_client.cpp
+++ b/src/ctl/daemon_client.cpp
@@ -43,8 +43,9 @@
     if (Answered && Answer.Status == 200)
       return std::move(Answer.Body);
     Failures += (Failures.empty() ? "" : "\n") + describeFailure(Server, Answer);
-    // Any other balancer would give the same answer.
-    if (Answered)
+    // Another balancer may be available; to any other status, it would give the same answer.
+    constexpr int StatusUnavailable = 503;
+    if (Answered && Answer.Status != StatusUnavailable)
       break;
   }
   throw ctl_error(Answered ? exit_code::UnexpectedAnswer : exit_code::Unreachable, Failures);
--- a/src/forward/forward_decision.h
+++ b/src/forward/forward_decision.h
@@ -42,7 +42,6 @@
   /// The token belongs to a target of a service that the route never named.
   OtherService,
   /// The flow's target is gone (target::gone()) and callers repeat packets to it without an answer.
-  /// Resets by a sweep have this reason for silent targets, too.
   TargetGone,
   /// The flow's target answers none of its callers (inferred_health::dead()).
   TargetSilent,
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -23,6 +23,11 @@
   return Target.gone(Now) ? Target.Health.suspected(Now) : Target.Health.dead(Now);
 }
 
+/// Reason for a reset of a flow whose target is unresponsive.
+forward_reason reasonOfReset(const target &Target, instant Now) {
+  return Target.gone(Now) ? forward_reason::TargetGone : forward_reason::TargetSilent;
+}
+
 } // namespace
 
 packet_forwarder::packet_forwarder(const packet_forwarder_settings &Settings, route_table &Routes,
@@ -134,8 +139,7 @@
 
   const std::uint32_t Repeats = Flow == nullptr ? 0 : Flow->Repeats;
   if (unresponsive(*Found, Now)) {
-    const forward_reason Reason =
-        Found->gone(Now) ? forward_reason::TargetGone : forward_reason::TargetSilent;
+    const forward_reason Reason = reasonOfReset(*Found, Now);
     Flows.erase(Packet.Flow);
     return {Packet.Ends ? forward_action::Drop : forward_action::Reset, Reason, Found, Repeats};
   }
@@ -167,7 +171,7 @@
     // that has assigned the flow to a working target. A reset could end that flow.
     if (Flow.Opening || Flow.Target == nullptr || !unresponsive(*Flow.Target, Now))
       return false;
-    Reset(Address, Flow);
+    Reset(Address, Flow, reasonOfReset(*Flow.Target, Now));
     return true;
   });
   if (Now >= NextExpireAt) {
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -32,8 +32,9 @@
 
   forward_decision decide(const caller_packet &Packet, instant Now);
 
-  /// Called with the address and state of a flow to reset.
-  using reset_function = std::function<void(const flow_address &, const tracked_flow &)>;
+  /// Called with the address and state of a flow to reset, and the reason.
+  using reset_function =
+      std::function<void(const flow_address &, const tracked_flow &, forward_reason)>;
   /// Calls \p Reset for each flow whose target no longer answers, so that its caller doesn't wait
   /// for the target. Stops tracking these flows and idle ones, and erases expired targets.
   void sweep(instant Now, const reset_function &Reset);
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -12,6 +12,7 @@
     return;
   if (!Known)
     Entry = std::make_unique<target>();
+  const bool Changed = !Known || Registration.Revision != Entry->Registration.Revision;
   const bool Restarted = Known && Entry->Registration.StartedMs != Registration.StartedMs;
   // The order of creation only matters if two targets have the same token.
   const bool TokensCollide = Tokens.size() < Targets.size();
@@ -24,7 +25,8 @@
   Entry->RemovedAt = Never;
   Entry->GoneAt = Never;
   Entry->Lapsed = false;
-  Entry->WarmUpEndsAt = Now + std::chrono::milliseconds(Registration.WarmUpMs);
+  if (Changed)
+    Entry->WarmUpEndsAt = Now + std::chrono::milliseconds(Registration.WarmUpMs);
   // Observations of the earlier process don't apply to the new one.
   if (Restarted) {
     Entry->Health = inferred_health();
--- a/src/forwarder/packet_socket.cpp
+++ b/src/forwarder/packet_socket.cpp
@@ -95,9 +95,9 @@
 
 void packet_socket::sweep() {
   const instant Now = Clock.now();
-  Forwarder.sweep(Now, [&](const flow_address &Flow, const tracked_flow &Tracked) {
-    const forward_decision Decision{forward_action::Reset, forward_reason::TargetGone,
-                                    Tracked.Target, Tracked.Repeats};
+  const auto Reset = [&](const flow_address &Flow, const tracked_flow &Tracked,
+                         forward_reason Reason) {
+    const forward_decision Decision{forward_action::Reset, Reason, Tracked.Target, Tracked.Repeats};
     count(Decision);
     caller_packet LastPacket;
     LastPacket.Flow = Flow;
@@ -105,7 +105,8 @@
     reset(Flow, Tracked.Acknowledged);
     if (Outgoing.full())
       flush();
-  });
+  };
+  Forwarder.sweep(Now, Reset);
   flush();
 }
 
--- a/tests/ctl/ctl_harness.h
+++ b/tests/ctl/ctl_harness.h
@@ -38,6 +38,8 @@
 
   /// Address of the server.
   std::string address() const;
+  /// Starts a second server that gives every request the same response. Returns its address.
+  std::string startSecondServer(std::uint16_t Status, const std::string &Body);
   /// Returns an address that refuses connections.
   static std::string refusingAddress();
 
@@ -58,6 +60,7 @@
   std::unique_ptr<event_base, base_deleter> Base;
   std::map<std::string, std::optional<standins::http_service::response>> Responses;
   std::unique_ptr<standins::http_service> Server;
+  std::unique_ptr<standins::http_service> SecondServer;
 };
 
 } // namespace briarpoint::test
--- a/tests/ctl/ctl_harness_support.cpp
+++ b/tests/ctl/ctl_harness_support.cpp
@@ -50,6 +50,15 @@
 
 std::string ctl_harness::address() const { return toString(Server->address()); }
 
+std::string ctl_harness::startSecondServer(std::uint16_t Status, const std::string &Body) {
+  SecondServer = std::make_unique<standins::http_service>(
+      Base.get(), LoopbackAnyPort,
+      [this, Status, Body](const standins::http_service::request &Request) {
+        SecondServer->answer(Request.Id, {Status, {}, Body});
+      });
+  return toString(SecondServer->address());
+}
+
 std::string ctl_harness::refusingAddress() {
   const std::unique_ptr<event_base, base_deleter> ClosedBase(event_base_new());
   const standins::http_service Closed(ClosedBase.get(), LoopbackAnyPort,
--- a/tests/ctl/ctl_test.cpp
+++ b/tests/ctl/ctl_test.cpp
@@ -206,6 +206,16 @@
             exit_code::Unreachable);
 }
 
+// Guards against a search that ends at a balancer that is starting or has no configuration.
+TEST_F(balancer_at_version_5, GetAsksTheNextServerIfOneIsUnavailable) {
+  const std::string Unavailable = Harness.startSecondServer(503, "joining");
+  EXPECT_EQ(Harness.run({"get", "--server", Unavailable}).Code, exit_code::Done);
+  EXPECT_EQ(Harness.Requests.size(), 1U);
+  const std::string Refusing = Harness.startSecondServer(404, "none");
+  EXPECT_EQ(Harness.run({"get", "--server", Refusing}).Code, exit_code::UnexpectedAnswer);
+  EXPECT_EQ(Harness.Requests.size(), 1U);
+}
+
 // Guards against output that omits parts of the answer, and against success for a missing version.
 TEST_F(balancer_at_version_5, GetDumpAndHistoryPrintTheAnswer) {
   EXPECT_EQ(Harness.run({"get", "6", "--json"}).Out,
--- a/tests/forward/forward_support.h
+++ b/tests/forward/forward_support.h
@@ -95,12 +95,15 @@
     return Opened.Target;
   }
 
-  /// Sweeps and returns the sorted ports of the flows that are reset.
+  /// Sweeps and returns the sorted ports of the flows that are reset. SweepReason is the reason of
+  /// the last one.
   std::vector<std::uint16_t> sweep() {
     std::vector<std::uint16_t> Ports;
-    Forwarder.sweep(Now, [&](const flow_address &Flow, const tracked_flow &) {
-      Ports.push_back(Flow.Caller.Port);
-    });
+    Forwarder.sweep(Now,
+                    [&](const flow_address &Flow, const tracked_flow &, forward_reason Reason) {
+                      Ports.push_back(Flow.Caller.Port);
+                      SweepReason = Reason;
+                    });
     std::sort(Ports.begin(), Ports.end());
     return Ports;
   }
@@ -111,6 +114,7 @@
     return Result;
   }
 
+  forward_reason SweepReason = forward_reason::Placed;
   bool OneCallerAddress = false;
   instant Now{seconds(100)};
   std::uint64_t Revision = 0;
--- a/tests/forward/forwarding_to_two_targets_test.cpp
+++ b/tests/forward/forwarding_to_two_targets_test.cpp
@@ -174,6 +174,8 @@
   sendWithoutAnswer();
   repeatAgain();
   const std::vector<std::uint16_t> Swept = sweep();
+  // Guards against a silent target that logs and counters show as gone.
+  EXPECT_EQ(SweepReason, forward_reason::TargetSilent);
   ResetPorts.insert(ResetPorts.end(), Swept.begin(), Swept.end());
   std::sort(ResetPorts.begin(), ResetPorts.end());
   EXPECT_EQ(ResetPorts, Ports);
--- a/tests/forward/load_model_support.cpp
+++ b/tests/forward/load_model_support.cpp
@@ -268,11 +268,12 @@
     if (Now >= NextSweep) {
       NextSweep = Now + SweepInterval;
       for (const auto &Balancer : Balancers)
-        Balancer->Forwarder.sweep(Now, [&](const flow_address &Flow, const tracked_flow &) {
-          caller_model &Caller = *Callers[Flow.Caller.Address - 1];
-          if (Caller.Packet.Flow == Flow)
-            failed(Caller);
-        });
+        Balancer->Forwarder.sweep(
+            Now, [&](const flow_address &Flow, const tracked_flow &, forward_reason) {
+              caller_model &Caller = *Callers[Flow.Caller.Address - 1];
+              if (Caller.Packet.Flow == Flow)
+                failed(Caller);
+            });
     }
     Next.Run();
   }
--- a/tests/forward/target_registry_test.cpp
+++ b/tests/forward/target_registry_test.cpp
@@ -103,6 +103,20 @@
   EXPECT_EQ(Targets.findByToken(makeFlowToken(1)), nullptr);
 }
 
+// Guards against targets that get less load for ever because each list restarts their warm-up. The
+// remaining time in an entry counts from the entry's revision.
+TEST_F(target_registration_state, warmsUpOnceForEachRevision) {
+  target_registration Registration = registration("i-1", 1);
+  Registration.WarmUpMs = 2000;
+  Targets.put(Registration, Now);
+  const instant WarmUpEndsAt = Targets.find("i-1")->WarmUpEndsAt;
+  Targets.put(Registration, Now + seconds(1));
+  EXPECT_EQ(Targets.find("i-1")->WarmUpEndsAt, WarmUpEndsAt);
+  Registration.Revision = ++Revision;
+  Targets.put(Registration, Now + seconds(1));
+  EXPECT_EQ(Targets.find("i-1")->WarmUpEndsAt, Now + seconds(3));
+}
+
 /// Returns two target numbers with the same token.
 std::pair<std::uint64_t, std::uint64_t> collidingNumbers() {
   std::unordered_map<std::uint32_t, std::uint64_t> Seen;
--- a/tests/platform/http_object_store_test.cpp
+++ b/tests/platform/http_object_store_test.cpp
@@ -24,6 +24,18 @@
   object_version Head;
 };
 
+// Guards against a watch that misses a change because the object is on a later page of the list
+// that follows a loss of history.
+TEST_F(http_store_with_an_object, WatchFindsAChangeOnALaterPageOfTheList) {
+  constexpr int MoreThanAPage = 520;
+  for (int I = 0; I < MoreThanAPage; ++I)
+    Harness.put("a" + std::to_string(I), 0, "x");
+  Harness.put("head", Head, "two");
+  // The store has lost the history after the watch's revision.
+  Harness.server().setFaults({.HistoryGone = true});
+  EXPECT_EQ(watchStatus(), object_status::Ok);
+}
+
 // Guards against a fault that is reported as another one. A put that is reported as refused
 // although it took effect would be repeated under another version. A put that is reported as
 // unknown although it was refused would make an operator wait without need.
