Read the watchers again: a malformed answer ends a wait, a late watch is checked

Found by reading the change, each with a test that failed first: - A watcher that left the retries to another one waited for ever if that one's answers couldn't be parsed (retriesOnceTheOtherWatcherGetsAMalformedAnswer). - If the store's revision was read between two watches, a stale watch that was behind was checked only an interval later (checksTheNextWatchIfTheStoreWasAheadBetweenWatches).

message_socket has tests of its own; the log of the revision exchange is in a file of its own, and the members of forwarder are named for what they exchange.

--- a/src/forward/suspicion_exchange.h
+++ b/src/forward/suspicion_exchange.h
@@ -11,7 +11,7 @@
 
 namespace briarpoint {
 
-/// Sends messages to other forwarders.
+/// Sends suspicion messages to other forwarders.
 class suspicion_sender {
 public:
   virtual ~suspicion_sender() = default;
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "forwarder/message_socket.h"
 #include "forwarder/packet_socket.h"
 #include "forwarder/registration_listener.h"
+#include "forwarder/revision_exchange_log.h"
 #include "forwarder/route_listener.h"
 #include "forwarder/store_call_log.h"
 #include "forwarder/watch_settings.h"
@@ -66,7 +67,7 @@
   return Result;
 }
 
-revision_exchange_settings exchangeSettings(const forwarder_settings &Settings) {
+revision_exchange_settings revisionExchangeSettings(const forwarder_settings &Settings) {
   revision_exchange_settings Result;
   Result.Local = Settings.Peers;
   Result.Region = Settings.Region;
@@ -109,13 +110,13 @@
   loop_scheduler StartScheduler;
   loop_scheduler RevisionScheduler;
   loop_scheduler GroupScheduler;
-  loop_scheduler ExchangeScheduler;
+  loop_scheduler RevisionExchangeScheduler;
   store_revision_reader OwnRevisions;
-  message_socket PeerSocket;
-  revision_exchange_log ExchangeLog;
-  revision_exchange Exchange;
-  suspicion_tracker Suspicions;
-  suspicion_exchange SharedSuspicions;
+  message_socket MessageSocket;
+  revision_exchange_log RevisionLog;
+  revision_exchange RevisionExchange;
+  suspicion_tracker SuspicionTracker;
+  suspicion_exchange SuspicionExchange;
   watch_group Watchers;
   loop_scheduler RegistrationScheduler;
   loop_scheduler ConfigurationScheduler;
@@ -148,14 +149,15 @@
         RegistrationCalls(Platform.Objects.registrationKind(), Log, Clock),
         ConfigurationCalls(Platform.Objects.configurationKind(), Log, Clock),
         StartScheduler(Loop, Clock), RevisionScheduler(Loop, Clock), GroupScheduler(Loop, Clock),
-        ExchangeScheduler(Loop, Clock), OwnRevisions(Platform.Objects.configurationKind(),
-                                                     revisionTimes(AllSettings).MinCallInterval,
-                                                     Platform.RevisionApi, RevisionScheduler),
-        PeerSocket(AllSettings.Peers, Log, Counters), ExchangeLog(Log, Counters),
-        Exchange(exchangeSettings(AllSettings), OwnRevisions, PeerSocket, ExchangeLog,
-                 ExchangeScheduler, Random),
-        SharedSuspicions(AllSettings.Peers, Targets, PeerSocket),
-        Watchers(revisionTimes(AllSettings).Interval, Exchange, GroupScheduler, Random),
+        RevisionExchangeScheduler(Loop, Clock),
+        OwnRevisions(Platform.Objects.configurationKind(),
+                     revisionTimes(AllSettings).MinCallInterval, Platform.RevisionApi,
+                     RevisionScheduler),
+        MessageSocket(AllSettings.Peers, Log, Counters), RevisionLog(Log, Counters),
+        RevisionExchange(revisionExchangeSettings(AllSettings), OwnRevisions, MessageSocket,
+                         RevisionLog, RevisionExchangeScheduler, Random),
+        SuspicionExchange(AllSettings.Peers, Targets, MessageSocket),
+        Watchers(revisionTimes(AllSettings).Interval, RevisionExchange, GroupScheduler, Random),
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
         RegistrationWatcher(Platform.Objects.registrationKind(),
                             registrationWatchSettings(AllSettings), Platform.RegistrationApi,
@@ -253,16 +255,16 @@
 
 void forwarder::parts::shareSuspicions() {
   const instant Now = Clock.now();
-  const suspicion_changes Changes = Suspicions.update(Targets, Now);
+  const suspicion_changes Changes = SuspicionTracker.update(Targets, Now);
   DecisionLog.logSuspicionChanges(Changes, Now);
-  if (!PeerSocket.isOpen())
+  if (!MessageSocket.isOpen())
     return;
   std::vector<std::uint64_t> Numbers;
   for (const target *Target : Changes.Began)
     Numbers.push_back(Target->Registration.Number);
   if (!Numbers.empty())
-    SharedSuspicions.report(Numbers, Exchange.reader(), Now);
-  SharedSuspicions.notify(Now);
+    SuspicionExchange.report(Numbers, RevisionExchange.reader(), Now);
+  SuspicionExchange.notify(Now);
 }
 
 void forwarder::parts::sweep() {
@@ -294,7 +296,7 @@
     Settings.Store = New.Store;
     if (New.Seeds != Settings.Seeds) {
       Settings.Seeds = New.Seeds;
-      Exchange.setReaders(readersOf(Settings));
+      RevisionExchange.setReaders(readersOf(Settings));
     }
     Log.write(log_event::SettingsReloaded, {{"file", SettingsSource}});
     // Settings that need a restart keep their old values.
@@ -329,9 +331,9 @@
   All.Loop.onInterval(SettingsPollInterval, [&All, &Read] { All.reload(Read); });
   All.StartedAt = All.Clock.now();
   All.Loop.onInterval(FlowSweepInterval, [&All] { All.sweep(); });
-  if (All.PeerSocket.isOpen())
-    All.Loop.onReadable(All.PeerSocket.descriptor(), [&All] {
-      All.PeerSocket.receive(All.Exchange, All.SharedSuspicions, All.Clock.now());
+  if (All.MessageSocket.isOpen())
+    All.Loop.onReadable(All.MessageSocket.descriptor(), [&All] {
+      All.MessageSocket.receive(All.RevisionExchange, All.SuspicionExchange, All.Clock.now());
     });
   All.RegistrationWatcher.start();
   All.StartScheduler.runAt(All.StartedAt + MaxConfigurationDelay,
--- a/src/forwarder/message_socket.h
+++ b/src/forwarder/message_socket.h
@@ -13,7 +13,7 @@
 namespace briarpoint {
 
 /// Exchanges messages with other forwarders over UDP.
-class message_socket final : public message_sender, public suspicion_sender {
+class message_socket final : public revision_sender, public suspicion_sender {
 public:
   /// Opens no socket if the port of \p Local is 0. Everything that is referred to must outlive the
   /// object.
@@ -40,25 +40,6 @@
   receive_batch Incoming;
 };
 
-/// Logs and counts what a revision_exchange does.
-class revision_exchange_log final : public revision_exchange_listener {
-public:
-  /// Both must outlive the object.
-  revision_exchange_log(event_log &Log, forwarder_counters &Counters)
-      : Log(Log), Counters(Counters) {}
-
-  void onQuestionEnded(const endpoint &Reader, revision_answer_outcome Outcome,
-                       std::uint64_t Revision, duration Age) override;
-  void onQuestionReceived(bool Accepted) override;
-
-private:
-  event_log &Log;
-  forwarder_counters &Counters;
-  /// The reader and the outcome that were logged last. Only changes are logged.
-  endpoint LoggedReader;
-  revision_answer_outcome LoggedOutcome = revision_answer_outcome::Unanswered;
-};
-
 } // namespace briarpoint
 
 #endif // BRIARPOINT_FORWARDER_MESSAGE_SOCKET_H
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -97,12 +97,14 @@
             Wait - duration(Jitter));
   Api.watch(Kind, Revision, Wait - duration(Jitter), SentConsistency,
             [this](const watch_answer &Answer) { finishWatch(Answer); });
-  // The answer to a short watch shows as much as a check, and reads of the store's revision lead to
-  // checks of a watch from a confirmed position.
-  if (!AwaitsRevision)
-    return;
-  Group.readRevision();
-  scheduleCheck(Settings.ProbeTimeout);
+  // The answer to a short watch shows as much as a check. A watch from a confirmed position is
+  // checked when the store's revision shows that there were changes.
+  if (AwaitsRevision) {
+    Group.readRevision();
+    scheduleCheck(Settings.ProbeTimeout);
+  } else if (Long && Revision < StoreRevision) {
+    startCheck();
+  }
 }
 
 void object_watcher::startCheck() {
@@ -175,8 +177,7 @@
 
 void object_watcher::onRevisionRead(std::optional<std::uint64_t> Read) {
   StoreRevision = std::max(StoreRevision, Read.value_or(0));
-  // The next watch begins with a check. A list or a short watch, which also follows a failure, is
-  // linearizable.
+  // The next watch begins with a check if it is behind. A list or a short watch is linearizable.
   if (!CallInProgress || Phase != phase::Watch || !isPositionUsable())
     return;
   if (!Read && AwaitsRevision)
@@ -282,9 +283,11 @@
   // A call that timed out does not indicate that the watches of others were cut.
   if (Outcome == call_outcome::Unanswered && Scheduler.now() < Call.WaitEndsAt)
     Group.reportInterruption(*this);
-  // One watcher's retries show when the store is back. Calls that are refused are priced, too.
-  const bool StoreFailed = Outcome != call_outcome::Malformed && Revision != 0;
-  if (StoreFailed && !Group.becomeProber(*this))
+  // One watcher's retries show when the store is back. Calls that are refused are priced, too. A
+  // malformed answer shows that the store answers.
+  if (Outcome == call_outcome::Malformed)
+    Group.endProbe(*this);
+  else if (Revision != 0 && !Group.becomeProber(*this))
     return;
   const duration Delay = retryDelay(Revision == 0 ? Settings.StartupBackoff : Settings.Backoff,
                                     ConsecutiveFailures - 1);
--- a/src/store/revision_exchange.cpp
+++ b/src/store/revision_exchange.cpp
@@ -8,7 +8,7 @@
 namespace briarpoint {
 
 revision_exchange::revision_exchange(const revision_exchange_settings &Settings,
-                                     revision_reader &Own, message_sender &Sender,
+                                     revision_reader &Own, revision_sender &Sender,
                                      revision_exchange_listener &Listener, scheduler &Scheduler,
                                      random_source &Random)
     : Settings(Settings), Own(Own), Sender(Sender), Listener(Listener), Scheduler(Scheduler),
--- a/src/store/revision_exchange.h
+++ b/src/store/revision_exchange.h
@@ -46,7 +46,7 @@
 public:
   /// \p Own reads the revision from the store. All references must outlive the object.
   revision_exchange(const revision_exchange_settings &Settings, revision_reader &Own,
-                    message_sender &Sender, revision_exchange_listener &Listener,
+                    revision_sender &Sender, revision_exchange_listener &Listener,
                     scheduler &Scheduler, random_source &Random);
 
   void read(callback Done) override;
@@ -79,7 +79,7 @@
 
   revision_exchange_settings Settings;
   revision_reader &Own;
-  message_sender &Sender;
+  revision_sender &Sender;
   revision_exchange_listener &Listener;
   scheduler &Scheduler;
   random_source &Random;
--- a/src/store/revision_exchange_listener.h
+++ b/src/store/revision_exchange_listener.h
@@ -29,10 +29,10 @@
   return Names.at(static_cast<std::size_t>(Outcome));
 }
 
-/// Sends messages to other forwarders.
-class message_sender {
+/// Sends revision messages to other forwarders.
+class revision_sender {
 public:
-  virtual ~message_sender() = default;
+  virtual ~revision_sender() = default;
 
   /// The message may be lost.
   virtual void send(const endpoint &To, const revision_message &Message) = 0;
--- /dev/null
+++ b/tests/forwarder/message_socket_test.cpp
@@ -0,0 +1,106 @@
+#include "base/seeded_random.h"
+#include "forwarder/message_socket.h"
+#include "forwarder/revision_exchange_log.h"
+#include "io/socket_address.h"
+#include "io/sockets.h"
+
+#include <gtest/gtest.h>
+#include <spdlog/sinks/null_sink.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace briarpoint {
+namespace {
+
+class set_clock final : public time_source {
+public:
+  instant now() override { return instant(std::chrono::seconds(100)); }
+};
+
+class set_scheduler final : public scheduler {
+public:
+  instant now() override { return instant(std::chrono::seconds(100)); }
+  void runAt(instant, std::function<void()>) override {}
+};
+
+/// Answers each read at once with revision 7.
+class known_revision final : public revision_reader {
+public:
+  void read(callback Done) override { Done(7); }
+};
+
+endpoint anyPort() { return {parseEndpoint("127.0.0.1:1")->Address, 0}; }
+
+/// Returns an endpoint that was free a moment ago: a message socket needs a port of its own.
+endpoint freePort() { return localEndpoint(openUdpSocket(anyPort()).get()); }
+
+/// A forwarder's message socket, and a socket of another forwarder.
+class a_message_socket : public testing::Test {
+protected:
+  void sendBytes(const std::string &Bytes) {
+    const socket_address To = toSocketAddress(localEndpoint(Socket.descriptor()));
+    ASSERT_EQ(sendto(Peer.get(), Bytes.data(), Bytes.size(), 0, To.get(), To.Size),
+              static_cast<ssize_t>(Bytes.size()));
+    Socket.receive(Revisions, Suspicions, Clock.now());
+  }
+  /// Returns the next datagram that the other forwarder has received; empty if there is none.
+  std::string received() const {
+    std::array<char, 2048> Buffer{};
+    const ssize_t Size = recv(Peer.get(), Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    return {Buffer.data(), Size > 0 ? static_cast<std::size_t>(Size) : 0};
+  }
+
+  file_descriptor Peer = openUdpSocket(anyPort());
+  set_clock Clock;
+  set_scheduler Scheduler;
+  seeded_random Random{1};
+  event_log Log{
+      std::make_shared<spdlog::logger>("none", std::make_shared<spdlog::sinks::null_sink_mt>()),
+      Clock};
+  forwarder_counters Counters;
+  message_socket Socket{freePort(), Log, Counters};
+  revision_exchange_log ExchangeLog{Log, Counters};
+  known_revision Own;
+  revision_exchange Revisions{{}, Own, Socket, ExchangeLog, Scheduler, Random};
+  target_registry Targets{target_registry_settings()};
+  suspicion_exchange Suspicions{anyPort(), Targets, Socket};
+};
+
+// Guards against questions that are lost between the socket and the exchange.
+TEST_F(a_message_socket, answersAQuestion) {
+  sendBytes(writeRevisionMessage({revision_message::type::Question, 5, 0}));
+  EXPECT_EQ(parseRevisionMessage(received()),
+            (revision_message{revision_message::type::Answer, 5, 7}));
+  EXPECT_EQ(Counters.AcceptedQuestions, 1U);
+}
+
+// Guards against a malformed datagram that ends the process, or that keeps later ones from being
+// handled.
+TEST_F(a_message_socket, countsAndDropsMalformedMessages) {
+  const std::string Question = writeRevisionMessage({revision_message::type::Question, 5, 0});
+  std::uint64_t Sent = 0;
+  for (const std::string &Bytes :
+       {std::string(), std::string("x"), std::string(2000, 'B'), Question.substr(1),
+        std::string(RevisionMessageSize, '\0'), Question + Question}) {
+    sendBytes(Bytes);
+    EXPECT_EQ(Counters.MalformedPeerMessages, ++Sent);
+  }
+  sendBytes(Question);
+  EXPECT_FALSE(received().empty());
+}
+
+// Guards against reports that don't reach the pool, and against forwarders that aren't notified
+// although they have asked for the revision.
+TEST_F(a_message_socket, notifiesAForwarderThatAsked) {
+  sendBytes(writeRevisionMessage({revision_message::type::Question, 5, 0}));
+  received();
+  sendBytes(writeSuspicionMessage({suspicion_message::type::Report, {3}}));
+  Suspicions.report({3}, nullptr, Clock.now());
+  Suspicions.notify(Clock.now());
+  EXPECT_EQ(parseSuspicionMessage(received()),
+            (suspicion_message{suspicion_message::type::Notice, {3}}));
+}
+
+} // namespace
+} // namespace briarpoint
--- a/tests/store/revision_exchange_test.cpp
+++ b/tests/store/revision_exchange_test.cpp
@@ -45,7 +45,7 @@
 
 /// A forwarder with its own connection to the store. While it is paused, messages wait in its
 /// socket.
-class simulated_node final : public message_sender, public revision_exchange_listener {
+class simulated_node final : public revision_sender, public revision_exchange_listener {
 public:
   simulated_node(simulated_network &Network, simulated_store &Store, const endpoint &Local,
                  const std::vector<endpoint> &Readers, random_source &Random)
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -134,6 +134,38 @@
   EXPECT_EQ(Api.CheckedRevision, 11U);
 }
 
+// Guards against a stale watch that stays behind for a whole interval, because the store's revision
+// was read between two watches.
+TEST_F(watching_listed_objects, checksTheNextWatchIfTheStoreWasAheadBetweenWatches) {
+  answerWatch(1, 11);
+  Api.Check = nullptr;
+  Watcher.onRevisionRead(15);
+  EXPECT_FALSE(Api.Check);
+  Scheduler.runNext();
+  EXPECT_TRUE(Api.Check);
+  EXPECT_EQ(Api.CheckedRevision, 11U);
+}
+
+// Guards against a watcher that waits for ever for another one whose answers can't be parsed: the
+// store answers.
+TEST_F(watching_listed_objects, retriesOnceTheOtherWatcherGetsAMalformedAnswer) {
+  fake_api OtherApi;
+  fake_scheduler OtherScheduler;
+  object_watcher Other("others", {}, OtherApi, Listener, Calls, Group, OtherScheduler, Random);
+  Other.start();
+  OtherApi.take().List({call_outcome::Done, {}, false, 10});
+  OtherScheduler.runNext();
+  OtherApi.take().Watch({call_outcome::Refused, {}, 0});
+  Scheduler.Action = nullptr;
+  failWatch(call_outcome::Refused);
+  ASSERT_FALSE(Scheduler.Action);
+  OtherScheduler.runNext();
+  OtherApi.take().Watch({call_outcome::Malformed, {}, 0});
+  ASSERT_TRUE(Scheduler.Action);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+}
+
 // Guards against two retries for one failure of the store. Refused calls are priced, too.
 TEST_F(watching_listed_objects, leavesRetriesToAnotherWatcherThatIsRetrying) {
   fake_api OtherApi;
