--- a/src/core/data/reply_handler.cpp
+++ b/src/core/data/reply_handler.cpp
@@ -204,7 +204,7 @@
     ++Target.Observation.TimedOut;
     Selector.recordFailure(Entry->Target, Now);
     // A target without recent progress is down, not overloaded, so fewer admissions wouldn't help.
-    if (Now - Target.LastProgress < Settings.SetupTimeout)
+    if (Now < Target.LastProgress + Settings.SetupTimeout)
       Admission.recordOutcome(Entry->Service, true, Now);
   }
 }
--- a/tests/daemon/control_task_test.cpp
+++ b/tests/daemon/control_task_test.cpp
@@ -181,7 +181,8 @@
   EXPECT_EQ(Group.call(2, "POST", "/v1/leave").Status, 202);
   EXPECT_TRUE(Group.runUntil([&] { return Ended; }));
   EXPECT_TRUE(Group.runUntil([&] {
-    for (const auto &Member : status(0)["members"])
+    const auto Status = status(0);
+    for (const auto &Member : Status["members"])
       if (Member["name"] == "balancer3")
         return Member["state"] == "leaving" || Member["state"] == "dead";
     return true;
@@ -198,9 +199,11 @@
     Fixture.Task.applySettings(New, 5000);
   for (int I = 0; I < 200; ++I)
     Group.round();
-  for (std::size_t I = 0; I < 3; ++I)
-    for (const auto &Member : status(I)["members"])
+  for (std::size_t I = 0; I < 3; ++I) {
+    const auto Status = status(I);
+    for (const auto &Member : Status["members"])
       EXPECT_FALSE(Member["suspected"]);
+  }
   EXPECT_EQ(refused("authentication"), 0U);
   EXPECT_EQ(Group.call(0, "POST", "/v1/leave").Status, 401)
       << "the old token must not be valid any more";
