Name the owner of retries, and share the fakes of the socket tests

Read as a newcomer: "prober" is the name of a health check elsewhere in the tree, so watch_group speaks of retries. The tests of the two sockets share a clock and a log, those of shared retries a fixture; all checks are kept. No change of behaviour.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -229,7 +229,7 @@
   CallListener.onCallEnded(Call, Answer.Outcome, Answer.Revision, Answer.Changes.size());
   if (Answer.Outcome == call_outcome::HistoryGone) {
     ++Counters.Outcomes[static_cast<std::size_t>(Answer.Outcome)];
-    Group.endProbe(*this);
+    Group.releaseRetry(*this);
     scheduleList();
     return;
   }
@@ -286,8 +286,8 @@
   // One watcher's retries show when the store is back. Calls that are refused are priced, too. A
   // malformed answer shows that the store answers.
   if (Outcome == call_outcome::Malformed)
-    Group.endProbe(*this);
-  else if (Revision != 0 && !Group.becomeProber(*this))
+    Group.releaseRetry(*this);
+  else if (Revision != 0 && !Group.claimRetry(*this))
     return;
   const duration Delay = retryDelay(Revision == 0 ? Settings.StartupBackoff : Settings.Backoff,
                                     ConsecutiveFailures - 1);
@@ -304,7 +304,7 @@
 void object_watcher::markInContact() {
   if (std::exchange(ConsecutiveFailures, 0) > 0)
     Listener.onContactChanged(true, call_outcome::Done);
-  Group.endProbe(*this);
+  Group.releaseRetry(*this);
 }
 
 void object_watcher::retryNow() {
--- a/src/store/watch_group.cpp
+++ b/src/store/watch_group.cpp
@@ -12,20 +12,20 @@
       Watcher->invalidatePosition();
 }
 
-bool watch_group::becomeProber(object_watcher &Watcher) {
-  if (Prober == nullptr)
-    Prober = &Watcher;
-  if (Prober == &Watcher)
+bool watch_group::claimRetry(object_watcher &Watcher) {
+  if (RetryOwner == nullptr)
+    RetryOwner = &Watcher;
+  if (RetryOwner == &Watcher)
     return true;
-  WaitingForProber.push_back(&Watcher);
+  WaitingForRetry.push_back(&Watcher);
   return false;
 }
 
-void watch_group::endProbe(const object_watcher &Watcher) {
-  if (Prober != &Watcher)
+void watch_group::releaseRetry(const object_watcher &Watcher) {
+  if (RetryOwner != &Watcher)
     return;
-  Prober = nullptr;
-  for (object_watcher *Waiting : std::exchange(WaitingForProber, {}))
+  RetryOwner = nullptr;
+  for (object_watcher *Waiting : std::exchange(WaitingForRetry, {}))
     Waiting->retryNow();
 }
 
--- a/src/store/watch_group.h
+++ b/src/store/watch_group.h
@@ -39,9 +39,9 @@
 
   /// Call it after a failed call. Returns whether \p Watcher is to retry; otherwise another one
   /// retries, and \p Watcher is notified when that one succeeds.
-  bool becomeProber(object_watcher &Watcher);
+  bool claimRetry(object_watcher &Watcher);
   /// The store answered a call of \p Watcher. If that one was retrying, the others retry now.
-  void endProbe(const object_watcher &Watcher);
+  void releaseRetry(const object_watcher &Watcher);
 
   /// The store's revision that was read last, and when; 0 before the first read that succeeded.
   std::uint64_t storeRevision() const { return StoreRevision; }
@@ -63,9 +63,9 @@
   std::uint64_t StoreRevision = 0;
   instant RevisionReadAt{};
   /// The watcher whose failed call is retried; nullptr if there is none.
-  const object_watcher *Prober = nullptr;
-  /// Watchers whose calls failed while Prober was retrying.
-  std::vector<object_watcher *> WaitingForProber;
+  const object_watcher *RetryOwner = nullptr;
+  /// Watchers whose calls failed while RetryOwner was retrying.
+  std::vector<object_watcher *> WaitingForRetry;
 };
 
 } // namespace briarpoint
--- a/tests/forwarder/message_socket_test.cpp
+++ b/tests/forwarder/message_socket_test.cpp
@@ -3,9 +3,8 @@
 #include "forwarder/revision_exchange_log.h"
 #include "io/socket_address.h"
 #include "io/sockets.h"
+#include "tests/forwarder/socket_support.h"
 
-#include <gtest/gtest.h>
-#include <spdlog/sinks/null_sink.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -13,11 +12,6 @@
 namespace briarpoint {
 namespace {
 
-class set_clock final : public time_source {
-public:
-  instant now() override { return instant(std::chrono::seconds(100)); }
-};
-
 class set_scheduler final : public scheduler {
 public:
   instant now() override { return instant(std::chrono::seconds(100)); }
@@ -30,13 +24,11 @@
   void read(callback Done) override { Done(7); }
 };
 
-endpoint anyPort() { return {parseEndpoint("127.0.0.1:1")->Address, 0}; }
-
 /// Returns an endpoint that was free a moment ago: a message socket needs a port of its own.
 endpoint freePort() { return localEndpoint(openUdpSocket(anyPort()).get()); }
 
 /// A forwarder's message socket, and a socket of another forwarder.
-class a_message_socket : public testing::Test {
+class a_message_socket : public socket_test {
 protected:
   void sendBytes(const std::string &Bytes) {
     const socket_address To = toSocketAddress(localEndpoint(Socket.descriptor()));
@@ -52,12 +44,8 @@
   }
 
   file_descriptor Peer = openUdpSocket(anyPort());
-  set_clock Clock;
   set_scheduler Scheduler;
   seeded_random Random{1};
-  event_log Log{
-      std::make_shared<spdlog::logger>("none", std::make_shared<spdlog::sinks::null_sink_mt>()),
-      Clock};
   forwarder_counters Counters;
   message_socket Socket{freePort(), Log, Counters};
   revision_exchange_log ExchangeLog{Log, Counters};
--- a/tests/forwarder/packet_socket_test.cpp
+++ b/tests/forwarder/packet_socket_test.cpp
@@ -4,9 +4,8 @@
 #include "io/socket_address.h"
 #include "io/sockets.h"
 #include "platform/flow_packet_format.h"
+#include "tests/forwarder/socket_support.h"
 
-#include <gtest/gtest.h>
-#include <spdlog/sinks/null_sink.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -14,17 +13,8 @@
 namespace briarpoint {
 namespace {
 
-class set_clock final : public time_source {
-public:
-  instant now() override { return Now; }
-  instant Now{std::chrono::seconds(100)};
-};
-
-/// Returns the loopback address with a port that the system chooses.
-endpoint anyPort() { return {parseEndpoint("127.0.0.1:1")->Address, 0}; }
-
 /// A packet socket on the loopback network, with one target but no routes.
-class packet_socket_without_routes : public testing::Test {
+class packet_socket_without_routes : public socket_test {
 protected:
   packet_socket_without_routes() {
     target_registration Registration;
@@ -61,10 +51,6 @@
   }
 
   file_descriptor Host = openUdpSocket(anyPort());
-  set_clock Clock;
-  event_log Log{
-      std::make_shared<spdlog::logger>("none", std::make_shared<spdlog::sinks::null_sink_mt>()),
-      Clock};
   seeded_random Random{1};
   route_table Routes;
   target_registry Targets{target_registry_settings()};
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -146,19 +146,25 @@
   EXPECT_EQ(Api.CheckedRevision, 11U);
 }
 
-// Guards against a watcher that waits for ever for another one whose answers can't be parsed: the
-// store answers.
-TEST_F(watching_listed_objects, retriesOnceTheOtherWatcherGetsAMalformedAnswer) {
+/// The store refused a call of another watcher, which retries, and then one of this watcher.
+class watching_beside_a_retry : public watching_listed_objects {
+protected:
+  watching_beside_a_retry() {
+    Other.start();
+    OtherApi.take().List({call_outcome::Done, {}, false, 10});
+    OtherScheduler.runNext();
+    OtherApi.take().Watch({call_outcome::Refused, {}, 0});
+    Scheduler.Action = nullptr;
+    failWatch(call_outcome::Refused);
+  }
   fake_api OtherApi;
   fake_scheduler OtherScheduler;
-  object_watcher Other("others", {}, OtherApi, Listener, Calls, Group, OtherScheduler, Random);
-  Other.start();
-  OtherApi.take().List({call_outcome::Done, {}, false, 10});
-  OtherScheduler.runNext();
-  OtherApi.take().Watch({call_outcome::Refused, {}, 0});
-  Scheduler.Action = nullptr;
-  failWatch(call_outcome::Refused);
-  ASSERT_FALSE(Scheduler.Action);
+  object_watcher Other{"others", {}, OtherApi, Listener, Calls, Group, OtherScheduler, Random};
+};
+
+// Guards against a watcher that waits for ever for another one whose answers can't be parsed: the
+// store answers.
+TEST_F(watching_beside_a_retry, retriesOnceTheOtherWatcherGetsAMalformedAnswer) {
   OtherScheduler.runNext();
   OtherApi.take().Watch({call_outcome::Malformed, {}, 0});
   ASSERT_TRUE(Scheduler.Action);
@@ -167,16 +173,7 @@
 }
 
 // Guards against two retries for one failure of the store. Refused calls are priced, too.
-TEST_F(watching_listed_objects, leavesRetriesToAnotherWatcherThatIsRetrying) {
-  fake_api OtherApi;
-  fake_scheduler OtherScheduler;
-  object_watcher Other("others", {}, OtherApi, Listener, Calls, Group, OtherScheduler, Random);
-  Other.start();
-  OtherApi.take().List({call_outcome::Done, {}, false, 10});
-  OtherScheduler.runNext();
-  OtherApi.take().Watch({call_outcome::Refused, {}, 0});
-  Scheduler.Action = nullptr;
-  failWatch(call_outcome::Refused);
+TEST_F(watching_beside_a_retry, leavesRetriesToTheOtherWatcherUntilTheStoreAnswers) {
   EXPECT_FALSE(Scheduler.Action);
   OtherScheduler.runNext();
   OtherScheduler.runNext();
