--- a/src/forward/suspicion_exchange.h
+++ b/src/forward/suspicion_exchange.h
@@ -44,7 +44,8 @@
   /// This forwarder began to suspect the targets with \p Numbers. \p Reader is nullptr if it asks
   /// no other forwarder.
   void report(const std::vector<std::uint64_t> &Numbers, const endpoint *Reader, instant Now);
-  /// A forwarder has asked this one something, so it is to be notified.
+  /// Adds \p From to the forwarders that are notified, until ContactLifetime has passed. Call it
+  /// when a question of \p From is received.
   void onContact(const endpoint &From, instant Now);
   /// Processes a message. \p FromReader is set if the sender is one of the readers; notices of
   /// others are ignored.
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -46,7 +46,8 @@
 /// The position of a watch is the revision after which it reports changes. Besides the absence of
 /// changes, there are four reasons why a watch may stay without an answer:
 /// - The store never received it. A hanging store keeps connections alive. Therefore a check
-///   follows each long watch and each list. If it is not answered, the call is dropped as failed.
+///   follows each list, and each long watch that is behind the store's revision or whose revision
+///   can't be read. If it is not answered, the call is dropped as failed.
 /// - Its answer was lost on a connection that stays open. Therefore a check is repeated whenever
 ///   the store's revision (watch_group) shows that there were changes. If the check reports changes
 ///   that the watch did not report, the watch is restarted.
--- a/src/store/revision_exchange.h
+++ b/src/store/revision_exchange.h
@@ -24,7 +24,8 @@
   std::vector<endpoint> Readers;
   /// Time within which a reader answers: the minimum interval between its calls, and a call.
   duration AnswerTimeout = std::chrono::milliseconds(600);
-  /// Time for which a reader that didn't answer, or couldn't read the revision, isn't asked.
+  /// Time for which no question is sent to a reader that didn't answer or couldn't read the
+  /// revision.
   duration AvoidanceTime = std::chrono::seconds(5);
   /// Maximum number of questions of others that wait for one call to the store. Further ones are
   /// dropped, and their senders ask the store themselves.
@@ -54,7 +55,8 @@
   /// Processes a message from \p From.
   void receive(const endpoint &From, const revision_message &Message);
 
-  /// Returns the reader that is asked now; nullptr if there is none or this forwarder is one.
+  /// Returns the reader that the next question goes to; nullptr if there is none, or if this
+  /// forwarder is a reader itself.
   const endpoint *reader() const { return chooseReader(); }
   /// Returns whether \p Forwarder is one of the readers.
   bool isReader(const endpoint &Forwarder) const;
@@ -85,7 +87,7 @@
   random_source &Random;
   /// Readers in the order in which this region asks them; empty if this forwarder is one.
   std::vector<endpoint> Ranked;
-  /// Times until which readers aren't asked.
+  /// Ends of the avoidance, by reader.
   std::map<endpoint, instant> AvoidedUntil;
   std::optional<question> Question;
   std::size_t WaitingQuestions = 0;
--- a/src/store/store_revision_reader.h
+++ b/src/store/store_revision_reader.h
@@ -11,8 +11,8 @@
 namespace briarpoint {
 
 /// Reads the store's revision by linearizable calls. Reads that are requested while a call is in
-/// progress, or within MinInterval of the last one, share the next call: an answer proves something
-/// only to readers that asked before its call was sent.
+/// progress, or within MinInterval of the last one, share the next call. A call in progress can't
+/// serve them: its answer may be older than their request.
 class store_revision_reader final : public revision_reader {
 public:
   /// \p Kind is any kind of objects. \p MinInterval is the minimum time between the starts of two
