--- a/review/lab/deployment.hpp
+++ b/review/lab/deployment.hpp
@@ -34,8 +34,10 @@
   static constexpr std::uint16_t ServicePort = 443;
   static constexpr int MaxSeeds = 3;
 
+  /// \p FirstSeed is the number of the first balancer that the seeds name. Seeds that name none are
+  /// stale: nothing listens there.
   deployment(loop &Loop, record &Record, const std::string &Folder, int BalancerCount,
-             double StaleLag)
+             double StaleLag, int FirstSeed = 1)
       : Loop(Loop), Record(Record), Store(Loop), Network(freeNetwork()) {
     for (int I = 0; I < BalancerCount; ++I) {
       Store.listenAt(address(9, I + 1), StorePort, StaleLag);
@@ -54,7 +56,7 @@
                     {"listen.datagram_addr", dotted(address(1, I + 1), PacketPort)},
                     {"listen.ready_addr", dotted(address(1, I + 1), ReadyPort)}};
       for (int S = 0; S < std::min(BalancerCount, MaxSeeds); ++S)
-        Fields["seeds." + std::to_string(S)] = dotted(address(1, S + 1), ControlPort);
+        Fields["seeds." + std::to_string(S)] = dotted(address(1, FirstSeed + S), ControlPort);
       Balancers.push_back(
           std::make_shared<balancer>(Folder, Fields, address(1, I + 1), PacketPort, ReadyPort));
     }
@@ -110,9 +112,15 @@
                   "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
   }
 
-  void start() {
-    for (const auto &Balancer : Balancers)
-      Balancer->start();
+  /// Starts the balancers one after the other, with a pause between two of them.
+  void start(double Pause = 0) {
+    for (std::size_t I = 0; I < Balancers.size(); ++I) {
+      Restarting.insert(Balancers[I].get());
+      Loop.after(Pause * static_cast<double>(I), [this, I] {
+        Restarting.erase(Balancers[I].get());
+        Balancers[I]->start();
+      });
+    }
     Routers = std::make_unique<routers>(Loop, Balancers);
   }
 
--- a/review/lab/loop.hpp
+++ b/review/lab/loop.hpp
@@ -99,7 +99,6 @@
   ~record() { std::fclose(Out); }
   void line(const std::string &Text) {
     std::fprintf(Out, "%9.3f s  %s\n", Loop.now() / 1000, Text.c_str());
-    std::fflush(Out);
   }
 
 private:
