--- a/review/lab/deployment.hpp
+++ b/review/lab/deployment.hpp
@@ -67,10 +67,12 @@
   }
 
   host &addHost(const std::string &Service) {
+    return addHost(Service, 0x7f3a0000ULL + static_cast<unsigned>(std::rand() & 0xfff) * 16 +
+                                static_cast<unsigned>(HostCount + 1));
+  }
+  host &addHost(const std::string &Service, std::uint64_t Identity) {
     const int Number = ++HostCount;
     char Name[32];
-    const std::uint64_t Identity = 0x7f3a0000ULL + static_cast<unsigned>(std::rand() & 0xfff) * 16 +
-                                   static_cast<unsigned>(Number);
     std::snprintf(Name, sizeof(Name), "i-%llx", static_cast<unsigned long long>(Identity));
     Hosts.push_back(std::make_unique<host>(Loop, Record, Name, Identity, Service,
                                            address(3, Number), HostPort, PacketPort));
