--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -7,13 +7,15 @@
 
 namespace {
 
-constexpr int Rounds = 6;
+constexpr int Rounds = 9;
 /// The first objects are written this long before the balancers start.
 constexpr double StartDelay = 4000;
 constexpr double FirstRound = 7000;
 /// A round: a balancer is stopped by plan, a version adds a route, clients open flows on it, and
 /// the balancer is back in rotation.
-constexpr double RoundLength = 16000;
+constexpr double RoundLength = 10500;
+/// The stop comes at a random time in this part of a round.
+constexpr double StopSpread = 500;
 /// A stopped balancer exits 1.2 s after its last packet.
 constexpr double RouteDelay = 300;
 constexpr int Clients = 40;
@@ -171,7 +173,8 @@
       Loop.every(50, [this] { Deployment.restartEnded(); });
     });
     for (int I = 0; I < Rounds; ++I)
-      Loop.at(FirstRound + I * RoundLength, [this, I] { beginRound(I); });
+      Loop.at(FirstRound + I * RoundLength + std::rand() % static_cast<int>(StopSpread),
+              [this, I] { beginRound(I); });
     Loop.at(FirstRound + Rounds * RoundLength, [this] {
       endRound();
       Loop.stop();
