--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -14,8 +14,8 @@
 /// A round: a balancer is stopped by plan, a version adds a route, clients open flows on it, and
 /// the balancer is back in rotation.
 constexpr double RoundLength = 10500;
-/// The stop comes at a random time in this part of a round.
-constexpr double StopSpread = 500;
+/// A process is started again 300 to 800 ms after its end.
+constexpr double RestartSpread = 500;
 /// A stopped balancer exits 1.2 s after its last packet.
 constexpr double RouteDelay = 300;
 constexpr int Clients = 40;
@@ -155,6 +155,7 @@
   }
 
   int run() {
+    Deployment.RestartSpread = RestartSpread;
     for (int I = 0; I < 6; ++I)
       addHost().WorkMs = 5;
     // A route without traffic; the others are added one by one, or at the start without trouble.
@@ -173,8 +174,7 @@
       Loop.every(50, [this] { Deployment.restartEnded(); });
     });
     for (int I = 0; I < Rounds; ++I)
-      Loop.at(FirstRound + I * RoundLength + std::rand() % static_cast<int>(StopSpread),
-              [this, I] { beginRound(I); });
+      Loop.at(FirstRound + I * RoundLength, [this, I] { beginRound(I); });
     Loop.at(FirstRound + Rounds * RoundLength, [this] {
       endRound();
       Loop.stop();
--- a/review/lab/deployment.hpp
+++ b/review/lab/deployment.hpp
@@ -137,7 +137,7 @@
         ++EndedByThemselves;
       }
       Restarting.insert(Balancer.get());
-      Loop.after(300, [this, Balancer] {
+      Loop.after(RestartDelay + RestartSpread * (std::rand() % 1000) / 1000, [this, Balancer] {
         Restarting.erase(Balancer.get());
         Record.line(Balancer->Name + " starts again");
         Balancer->start();
@@ -167,6 +167,9 @@
   std::vector<route_entry> Routes;
   std::uint64_t Version = 1;
   int TimeoutMs = 2000;
+  /// From the end of a process until it is started again; a random part of the spread is added.
+  double RestartDelay = 300;
+  double RestartSpread = 0;
   int EndedByThemselves = 0;
 
 private:
