Take the time of a call, not of its answer, as the age of what it reports

Cause: object_watcher::upToDateAt() was the time at which a list or change arrived. The store has read the objects earlier, so a forwarder with a delayed list could reset a flow with an unknown token whose target had registered in between.

Ruled out: a limit on the delay of answers, which the store's slowness breaks.

Change: the time is that of the proving call, for several pages of the first one. A read of the store's revision that the watcher has reached proves the same as of the read's request, so that stale watches, too, show how current their view is. A metric gives the view's age.

Before: with the answer's time in place of the call's (the old behaviour), isCurrentAsOfTheTimeAtWhichTheFirstPageWasRequested, listsIfARefreshReportsNothing, restartsTheWatchOnANewConnectionWhenRefreshed and isUpToDateOnlyAfterALinearizableAnswer fail; the last three were changed to expect the call's time, which is stricter. Without the proof by a revision, isCurrentAsOfTheReadOfARevisionThatItHasReached fails.

--- a/src/forwarder/forwarder_status.cpp
+++ b/src/forwarder/forwarder_status.cpp
@@ -103,6 +103,9 @@
              static_cast<double>(Watcher.revision()));
   Page.gauge("briarpoint_forwarder_store_answer_age_seconds", "Time since the store's last answer.",
              {{"kind", Kind}}, ageOf(Watcher.lastAnswerAt(), Now));
+  Page.gauge("briarpoint_forwarder_view_age_seconds",
+             "Time since the state of the store that is known to be complete.", {{"kind", Kind}},
+             ageOf(Watcher.upToDateAt(), Now));
 }
 
 nlohmann::json describeTarget(const target &Target, instant Now) {
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -73,6 +73,8 @@
                                                        : store_call_type::List,
             0, duration::zero());
   ++(ListConsistency == read_consistency::Stale ? Counters.StaleLists : Counters.Lists);
+  if (ListedObjects.empty())
+    ListBeganAt = Call.SentAt;
   const std::string After = ListedObjects.empty() ? "" : ListedObjects.back().Name;
   Api.list(Kind, After, ListConsistency,
            [this](list_answer Answer) { finishList(std::move(Answer)); });
@@ -158,8 +160,10 @@
       leaveStaleWatch();
   } else {
     WatchConsistency = read_consistency::Stale;
-    if (StoreRevision != 0)
+    if (StoreRevision != 0) {
       confirmPosition();
+      markUpToDate(RevisionRequestedAt);
+    }
   }
 }
 
@@ -175,8 +179,13 @@
   AwaitsRevision = false;
 }
 
-void object_watcher::onRevisionRead(std::optional<std::uint64_t> Read) {
-  StoreRevision = std::max(StoreRevision, Read.value_or(0));
+void object_watcher::onRevisionRead(std::optional<std::uint64_t> Read, instant RequestedAt) {
+  if (Read) {
+    StoreRevision = std::max(StoreRevision, *Read);
+    RevisionRequestedAt = RequestedAt;
+    if (Revision >= StoreRevision)
+      markUpToDate(RequestedAt);
+  }
   // The next watch begins with a check if it is behind. A list or a short watch is linearizable.
   if (!CallInProgress || Phase != phase::Watch || !isPositionUsable())
     return;
@@ -186,8 +195,10 @@
     return; // The check that confirms the position is scheduled.
   else if (!Read || CheckedRevision < StoreRevision)
     startCheck();
-  else
+  else {
     confirmPosition();
+    markUpToDate(RequestedAt);
+  }
 }
 
 void object_watcher::finishList(list_answer Answer) {
@@ -220,7 +231,9 @@
   Phase = phase::Watch;
   Listener.onList(Objects, Revision);
   if (PositionConfirmed)
-    markUpToDate();
+    finishRefresh(ListBeganAt);
+  else if (StoreRevision != 0 && Revision >= StoreRevision)
+    markUpToDate(RevisionRequestedAt);
   scheduleCall(duration::zero());
 }
 
@@ -247,7 +260,9 @@
   if (!Answer.Changes.empty()) {
     Listener.onChanges(Answer.Changes, Revision);
     if (SentConsistency == read_consistency::Linearizable)
-      markUpToDate();
+      finishRefresh(Call.SentAt);
+    if (StoreRevision != 0 && Revision >= StoreRevision)
+      markUpToDate(RevisionRequestedAt);
     scheduleCall(Settings.BatchingDelay);
   } else if (RefreshPending) {
     scheduleList();
@@ -269,8 +284,8 @@
   return *nextRetry(Backoff, Retry, Now, Never, Random) - Now;
 }
 
-void object_watcher::markUpToDate() {
-  UpToDateAt = Scheduler.now();
+void object_watcher::finishRefresh(instant SentAt) {
+  markUpToDate(SentAt);
   RefreshPending = false;
 }
 
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -9,6 +9,7 @@
 #include "store/watch_counters.h"
 #include "store/watch_group.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -76,8 +77,9 @@
   /// that still waits after ProbeTimeout is restarted.
   void invalidatePosition();
 
-  /// The store had \p StoreRevision after the read was requested; std::nullopt if that is unknown.
-  void onRevisionRead(std::optional<std::uint64_t> StoreRevision);
+  /// The store had \p StoreRevision at \p RequestedAt or later, when the read was requested;
+  /// std::nullopt if that is unknown.
+  void onRevisionRead(std::optional<std::uint64_t> StoreRevision, instant RequestedAt);
 
   /// The store answers another watcher again. Call it after a failure that the other one retried.
   void retryNow();
@@ -85,8 +87,10 @@
   /// When a list or watch last succeeded; instant{} before the first one.
   instant lastAnswerAt() const { return LastAnswerAt; }
 
-  /// When all changes in the store were last known to be reported. An empty answer to a watch does
-  /// not prove that: before the store drops its history, its watches report nothing for a while.
+  /// Everything that the store had at this time was reported; instant{} before the first proof. It
+  /// is the time at which the proving call was sent, since an answer may be delayed. An empty
+  /// answer to a watch proves nothing: before the store drops its history, its watches report
+  /// nothing for a while.
   instant upToDateAt() const { return UpToDateAt; }
 
   /// The store's revision up to which everything was reported; 0 before the first list.
@@ -116,7 +120,9 @@
   void leaveStaleWatch();
   void confirmPosition();
   void scheduleList();
-  void markUpToDate();
+  void markUpToDate(instant At) { UpToDateAt = std::max(UpToDateAt, At); }
+  /// A linearizable call that was sent at \p SentAt reported the changes of a refresh, too.
+  void finishRefresh(instant SentAt);
   duration retryDelay(const backoff_settings &Backoff, std::uint32_t Retry);
   void handleFailure(call_outcome Outcome);
   void handleSuccess();
@@ -139,6 +145,8 @@
   std::vector<stored_object> ListedObjects;
   /// Lowest revision of these pages.
   std::uint64_t OldestPageRevision = 0;
+  /// When the call for the first of these pages was sent.
+  instant ListBeganAt{};
   std::uint64_t Revision = 0;
   std::uint32_t ConsecutiveFailures = 0;
   /// Calls of scheduleList() since a watch last succeeded.
@@ -154,6 +162,8 @@
   read_consistency SentConsistency = read_consistency::Stale;
   /// Highest known revision of the store.
   std::uint64_t StoreRevision = 0;
+  /// When the last successful read of the store's revision was requested.
+  instant RevisionRequestedAt{};
   /// The call in progress, or the last one.
   store_call Call;
   /// The store answered a check after Call was sent.
--- a/src/store/watch_group.cpp
+++ b/src/store/watch_group.cpp
@@ -33,6 +33,7 @@
   if (ReadInProgress)
     return;
   ReadInProgress = true;
+  RevisionRequestedAt = Scheduler.now();
   Reader.read([this](std::optional<std::uint64_t> Revision) { finishRead(Revision); });
 }
 
@@ -46,7 +47,7 @@
       Random.below(static_cast<std::uint64_t>(Interval.count() / 10 + 1)));
   Scheduler.runAt(Scheduler.now() + Interval - duration(Jitter), [this] { readRevision(); });
   for (object_watcher *Watcher : Watchers)
-    Watcher->onRevisionRead(Revision);
+    Watcher->onRevisionRead(Revision, RevisionRequestedAt);
 }
 
 } // namespace briarpoint
--- a/src/store/watch_group.h
+++ b/src/store/watch_group.h
@@ -46,6 +46,8 @@
   /// The store's revision that was read last, and when; 0 before the first read that succeeded.
   std::uint64_t storeRevision() const { return StoreRevision; }
   instant revisionReadAt() const { return RevisionReadAt; }
+  /// When the last read was requested; instant{} before the first one.
+  instant revisionRequestedAt() const { return RevisionRequestedAt; }
 
   /// Reads the store's revision now, and from then on at the interval, and reports it to all
   /// watchers. Does nothing if a read is in progress.
@@ -62,6 +64,7 @@
   bool ReadInProgress = false;
   std::uint64_t StoreRevision = 0;
   instant RevisionReadAt{};
+  instant RevisionRequestedAt{};
   /// The watcher whose failed call is retried; nullptr if there is none.
   const object_watcher *RetryOwner = nullptr;
   /// Watchers whose calls failed while RetryOwner was retrying.
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -89,8 +89,10 @@
   Scheduler.Now += seconds(2);
   Watcher.refresh();
   EXPECT_EQ(Api.Cancelled, 2);
+  const instant SentAt = Scheduler.Now;
+  Scheduler.Now += milliseconds(50);
   answerWatch(1, 11);
-  EXPECT_EQ(Watcher.upToDateAt(), Scheduler.Now);
+  EXPECT_EQ(Watcher.upToDateAt(), SentAt);
 }
 
 // Guards against treating an empty answer as proof that no change was missed. While the store drops
@@ -103,12 +105,27 @@
   EXPECT_LT(Watcher.upToDateAt(), RefreshedAt);
   Scheduler.runNext();
   EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
+  const instant SentAt = Scheduler.Now;
+  Scheduler.Now += milliseconds(50);
   answerList({object("b")}, 12);
-  EXPECT_EQ(Watcher.upToDateAt(), Scheduler.Now);
+  EXPECT_EQ(Watcher.upToDateAt(), SentAt);
   Scheduler.runNext();
   EXPECT_GT(Api.Calls.front().Wait, seconds(20));
 }
 
+// Guards against a list that counts as newer than it is: the store may have read the objects of an
+// answer that is delayed, or of the first page, when the call was sent.
+TEST_F(watching_listed_objects, isCurrentAsOfTheTimeAtWhichTheFirstPageWasRequested) {
+  failWatch(call_outcome::HistoryGone);
+  Scheduler.runNext();
+  const instant SentAt = Scheduler.Now;
+  Scheduler.Now += seconds(1);
+  answerList({object("a")}, 12, true);
+  Scheduler.Now += seconds(1);
+  answerList({object("b")}, 14);
+  EXPECT_EQ(Watcher.upToDateAt(), SentAt);
+}
+
 // Guards against a delay between two watches, and against a watch from an outdated revision.
 TEST_F(watching_listed_objects, watchesAgainAtOnceIfNothingChanged) {
   answerWatch(0, 17);
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -20,16 +20,16 @@
 // Guards against a priced call for each watch from a confirmed position.
 TEST_F(watching_after_a_change, isNotCheckedWhileTheStoreHasNoFurtherChange) {
   EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Stale);
-  Watcher.onRevisionRead(11);
+  Watcher.onRevisionRead(11, Scheduler.Now);
   EXPECT_FALSE(Api.Check);
-  Watcher.onRevisionRead(12);
+  Watcher.onRevisionRead(12, Scheduler.Now);
   EXPECT_TRUE(Api.Check);
   EXPECT_EQ(Api.CheckedRevision, 11U);
 }
 
 // Guards against waiting for the answer to a watch that the store never received (incident DRAIN).
 TEST_F(watching_after_a_change, isRestartedIfTheStoreDoesNotAnswerACheck) {
-  Watcher.onRevisionRead(std::nullopt);
+  Watcher.onRevisionRead(std::nullopt, Scheduler.Now);
   Api.Check({call_outcome::Unanswered, {}, 0});
   EXPECT_EQ(Api.Cancelled, 1);
   EXPECT_EQ(Listener.Events, std::vector<std::string>{"lost"});
@@ -40,7 +40,7 @@
 // Guards against dropping a working watch because of a check that succeeded, or of one that failed
 // after the watch had ended.
 TEST_F(watching_after_a_change, staysIfACheckSucceedsOrFailsTooLate) {
-  Watcher.onRevisionRead(12);
+  Watcher.onRevisionRead(12, Scheduler.Now);
   Api.Check({call_outcome::Done, {}, 12});
   EXPECT_EQ(Api.Calls.size(), 1U);
   const auto LateCheck = Api.Check;
@@ -55,9 +55,9 @@
 
 // Guards against an answer that was lost on a connection that stays open (soak, seeds 337 and 345).
 TEST_F(watching_after_a_change, isRestartedIfACheckReportsAChangeThatItDidNot) {
-  Watcher.onRevisionRead(17);
+  Watcher.onRevisionRead(17, Scheduler.Now);
   Api.Check({call_outcome::Done, {}, 17});
-  Watcher.onRevisionRead(18);
+  Watcher.onRevisionRead(18, Scheduler.Now);
   EXPECT_EQ(Api.CheckedRevision, 17U);
   Api.Check({call_outcome::Done, std::vector<object_change>(1), 18});
   EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeTimeout);
@@ -67,9 +67,9 @@
 
 // Guards against dropping a working watch because a later check wasn't answered.
 TEST_F(watching_after_a_change, isCheckedSoonerAfterALaterCheckThatFailed) {
-  Watcher.onRevisionRead(12);
+  Watcher.onRevisionRead(12, Scheduler.Now);
   Api.Check({call_outcome::Done, {}, 12});
-  Watcher.onRevisionRead(13);
+  Watcher.onRevisionRead(13, Scheduler.Now);
   Api.Check({call_outcome::Unanswered, {}, 0});
   EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeTimeout);
   EXPECT_EQ(Api.Calls.size(), 1U);
@@ -79,7 +79,7 @@
 // Guards against a stale watch that waits although stale reads are behind the store's revision.
 // Linearizable watches are used until a check has caught up.
 TEST_F(watching_after_a_change, becomesLinearizableWhileStaleReadsAreBehind) {
-  Watcher.onRevisionRead(20);
+  Watcher.onRevisionRead(20, Scheduler.Now);
   Api.Check({call_outcome::Done, {}, 12});
   EXPECT_EQ(Api.Cancelled, 1);
   EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
@@ -88,10 +88,10 @@
   Scheduler.runNext();
   EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
   EXPECT_GT(Api.Calls.front().Wait, seconds(20));
-  Watcher.onRevisionRead(21);
+  Watcher.onRevisionRead(21, Scheduler.Now);
   Api.Check({call_outcome::Done, {}, 12});
   EXPECT_EQ(Api.Cancelled, 1);
-  Watcher.onRevisionRead(22);
+  Watcher.onRevisionRead(22, Scheduler.Now);
   Api.Check({call_outcome::Done, {}, 22});
   answerWatch(1, 23);
   Scheduler.runNext();
@@ -105,8 +105,33 @@
   EXPECT_EQ(Watcher.upToDateAt(), Before);
   Scheduler.runNext();
   Watcher.refresh();
+  const instant SentAt = Scheduler.Now;
+  Scheduler.Now += milliseconds(50);
   answerWatch(1, 13);
-  EXPECT_EQ(Watcher.upToDateAt(), Scheduler.Now);
+  EXPECT_EQ(Watcher.upToDateAt(), SentAt);
+}
+
+// Guards against a view that counts as current later than the read of the revision that it has
+// reached was requested, and against one that never counts as current because its reads are stale.
+TEST_F(watching_after_a_change, isCurrentAsOfTheReadOfARevisionThatItHasReached) {
+  const instant RequestedAt = Scheduler.Now;
+  Scheduler.Now += milliseconds(500);
+  Watcher.onRevisionRead(12, RequestedAt);
+  EXPECT_LT(Watcher.upToDateAt(), RequestedAt);
+  answerWatch(1, 12);
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt);
+  // While no call is in progress, the revision that was reached is enough.
+  Watcher.onRevisionRead(12, RequestedAt + milliseconds(100));
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(100));
+  Scheduler.runNext();
+  // Changes of other kinds are no reason to wait: a check shows that there were none of this one.
+  Watcher.onRevisionRead(15, RequestedAt + milliseconds(200));
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(100));
+  Api.Check({call_outcome::Done, {}, 15});
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(200));
+  // A read that failed proves nothing.
+  Watcher.onRevisionRead(std::nullopt, RequestedAt + milliseconds(300));
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(200));
 }
 
 // Guards against a watch that waits in vain because it was sent just after the store had cut the
@@ -139,7 +164,7 @@
 TEST_F(watching_listed_objects, checksTheNextWatchIfTheStoreWasAheadBetweenWatches) {
   answerWatch(1, 11);
   Api.Check = nullptr;
-  Watcher.onRevisionRead(15);
+  Watcher.onRevisionRead(15, Scheduler.Now);
   EXPECT_FALSE(Api.Check);
   Scheduler.runNext();
   EXPECT_TRUE(Api.Check);
