Don't reset open flows by routes that may be older than another balancer's

Cause: packet_forwarder::decide() took the absence of a route from its own configuration as proof that there is none, although another forwarder may have a newer one for the time that changes may take. allowsFlow() had the same gap for a route that gets a further service.

Ruled out: unknown tokens (the logs have reason=no_route, and the target is registered); a late watch (the version arrives within its limit of 3 s).

Change: a packet of an open flow goes to its token's target until the routes are proven current as of the flow's first packet that they don't allow. The forwarder requests that proof at once, as a read of the store's revision that readers share. Then the flow is reset, also for later copies. Packets that open flows, or without a token, are refused at once, as before. Why it works: the flow was opened under a version that the store had before the packet came, so a view that is newer than the packet contains it.

Tests: forwardsOpenFlowsByTheirTokens, resetsATokenOfAServiceThatTheRouteNeverNamed and keepsFlowsThatAnUnseenVersionMayHaveOpened demanded the reset without proof, which is the fault; they now demand it with proof, and the first one demands forwarding without.

--- a/src/forward/forward_decision.h
+++ b/src/forward/forward_decision.h
@@ -49,9 +49,12 @@
   Meaningless,
   /// A packet that opens a flow and was queued while this balancer's process was paused.
   Stale,
+  /// Forwarded: a packet of an open flow that the routes don't allow. Another balancer may have a
+  /// newer configuration that does.
+  RouteUnconfirmed,
 };
 
-inline constexpr std::size_t ForwardReasonCount = 12;
+inline constexpr std::size_t ForwardReasonCount = 13;
 
 /// Names for logs and metrics.
 std::string_view toString(forward_reason Reason);
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -28,6 +28,11 @@
   return Target.gone(Now) ? forward_reason::TargetGone : forward_reason::TargetSilent;
 }
 
+/// Action for a packet whose flow can't be served. The end of a flow needs no answer.
+forward_action refusal(const caller_packet &Packet) {
+  return Packet.Ends ? forward_action::Drop : forward_action::Reset;
+}
+
 } // namespace
 
 packet_forwarder::packet_forwarder(const packet_forwarder_settings &Settings, route_table &Routes,
@@ -39,17 +44,16 @@
 forward_decision packet_forwarder::decide(const caller_packet &Packet, instant Now) {
   if (!forwardsOpenFlows())
     return {forward_action::Drop, forward_reason::NotReady};
+  const active_route *Route = Routes.find(Packet.Flow.Service);
   // When all balancers start at once, for example after a loss of power, reading a large
-  // configuration takes longer than reading the targets. Open flows need not wait for it. A flow
-  // whose route was removed meanwhile ends when the routes are known.
+  // configuration takes longer than reading the targets. Open flows need not wait for it.
   if (Routes.version() == 0)
     return Packet.Opens ? forward_decision{forward_action::Postpone, forward_reason::NotReady}
-                        : forwardOpenFlow(Packet, nullptr, Now);
-  const active_route *Route = Routes.find(Packet.Flow.Service);
-  if (Route == nullptr) {
+                        : forwardOpenFlow(Packet, Route, Now);
+  // A packet without a token belongs to no open flow.
+  if (Route == nullptr && (Packet.Opens || Packet.Token == NoToken)) {
     Flows.erase(Packet.Flow);
-    // The end of a flow needs no answer.
-    return {Packet.Ends ? forward_action::Drop : forward_action::Reset, forward_reason::NoRoute};
+    return {refusal(Packet), forward_reason::NoRoute};
   }
   return Packet.Opens ? openFlow(Packet, *Route, Now) : forwardOpenFlow(Packet, Route, Now);
 }
@@ -124,29 +128,50 @@
   target *Found = Targets.findByToken(Packet.Token);
   if (Found == nullptr)
     return handleUnknownToken(Packet, Now);
-  if (Route != nullptr && !Routes.allowsFlow(*Route, Found->Registration.Service, Now))
-    return {Packet.Ends ? forward_action::Drop : forward_action::Reset,
-            forward_reason::OtherService, Found};
-
-  // The token takes precedence over the tracked target, because another balancer may have assigned
-  // a repeat of the opening packet to a different target.
-  tracked_flow *Flow = Flows.find(Packet.Flow);
-  if (Flow != nullptr && Flow->Target != Found)
-    flow_tracker::reassign(*Flow, Found);
-  if (Flow != nullptr)
-    Flows.observe(*Flow, Packet, Now);
-  else if (Packet.DataSize > 0 && !Packet.Ends)
-    Flow = Flows.add(Packet, Found, Now);
-
+  const bool Allowed =
+      Routes.version() == 0 ||
+      (Route != nullptr && Routes.allowsFlow(*Route, Found->Registration.Service, Now));
+  tracked_flow *Flow = trackOpenFlow(Packet, *Found, Allowed, Now);
   const std::uint32_t Repeats = Flow == nullptr ? 0 : Flow->Repeats;
+
+  if (!Allowed && Flow != nullptr) {
+    if (Routes.isCurrentAsOf(Flow->RouteMismatchAt)) {
+      // The flow stays tracked, so that a copy of the packet is refused, too.
+      flow_tracker::reassign(*Flow, nullptr);
+      return {refusal(Packet),
+              Route == nullptr ? forward_reason::NoRoute : forward_reason::OtherService, Found,
+              Repeats};
+    }
+    requestProof(Flow->RouteMismatchAt);
+  }
   if (unresponsive(*Found, Now)) {
-    const forward_reason Reason = reasonOfReset(*Found, Now);
     Flows.erase(Packet.Flow);
-    return {Packet.Ends ? forward_action::Drop : forward_action::Reset, Reason, Found, Repeats};
+    return {refusal(Packet), reasonOfReset(*Found, Now), Found, Repeats};
   }
   if (Packet.Ends)
     Flows.erase(Packet.Flow);
-  return {forward_action::Forward, forward_reason::Open, Found, Repeats};
+  return {forward_action::Forward,
+          Allowed ? forward_reason::Open : forward_reason::RouteUnconfirmed, Found, Repeats};
+}
+
+tracked_flow *packet_forwarder::trackOpenFlow(const caller_packet &Packet, target &Found,
+                                              bool Allowed, instant Now) {
+  tracked_flow *Flow = Flows.find(Packet.Flow);
+  // The token takes precedence over the tracked target, because another balancer may have assigned
+  // a repeat of the opening packet to a different target.
+  if (Flow != nullptr && Flow->Target != &Found)
+    flow_tracker::reassign(*Flow, &Found);
+  if (Flow != nullptr)
+    Flows.observe(*Flow, Packet, Now);
+  else if ((Packet.DataSize > 0 || !Allowed) && !Packet.Ends)
+    Flow = Flows.add(Packet, &Found, Now);
+  if (Flow == nullptr)
+    return nullptr;
+  if (Allowed)
+    Flow->RouteMismatchAt = Never;
+  else
+    Flow->RouteMismatchAt = std::min(Flow->RouteMismatchAt, Now);
+  return Flow;
 }
 
 forward_decision packet_forwarder::handleUnknownToken(const caller_packet &Packet, instant Now) {
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -8,6 +8,7 @@
 #include "forward/target_chooser.h"
 #include "forward/target_registry.h"
 
+#include <algorithm>
 #include <functional>
 #include <unordered_map>
 
@@ -47,19 +48,28 @@
   bool ready() const { return Routes.version() != 0 && forwardsOpenFlows(); }
   void setTargetsLoaded() { TargetsLoaded = true; }
 
-  /// The registered targets are complete as of \p At, according to the store. A flow with an
-  /// unknown token is reset only if this is later than its last packet that wasn't a repeat; until
-  /// then the target may have registered without this balancer having received its entry.
+  /// All entries of targets that the store had at \p At are registered. A flow with an unknown
+  /// token is reset only if this is later than its last packet that wasn't a repeat; until then the
+  /// target may have registered without this balancer having received its entry.
   void setTargetsCurrentAt(instant At) { TargetsCurrentAt = At; }
 
+  /// Proof that the routes and targets are current at a later time than this would allow a decision
+  /// about a flow that is forwarded meanwhile; instant::min() if no flow ever waited for that.
+  instant proofNeededAfter() const { return ProofNeededAfter; }
+
   std::size_t trackedFlows() const { return Flows.size(); }
 
 private:
   forward_decision openFlow(const caller_packet &Packet, const active_route &Route, instant Now);
-  /// \p Route is nullptr while no routes are known.
+  /// \p Route is nullptr if the routes, if any are known, don't include the service address.
   forward_decision forwardOpenFlow(const caller_packet &Packet, const active_route *Route,
                                    instant Now);
   forward_decision handleUnknownToken(const caller_packet &Packet, instant Now);
+  /// Returns the tracked flow of a packet to \p Found, after the packet was observed; nullptr if it
+  /// isn't tracked. \p Allowed tells whether the routes allow the packet.
+  tracked_flow *trackOpenFlow(const caller_packet &Packet, target &Found, bool Allowed,
+                              instant Now);
+  void requestProof(instant After) { ProofNeededAfter = std::max(ProofNeededAfter, After); }
   target *chooseTarget(const caller_packet &Packet, const active_route &Route,
                        const target *Avoided, instant Now);
   const target *targetOfFailedOpen(const caller_packet &Packet);
@@ -74,6 +84,7 @@
   std::unordered_map<std::uint32_t, flow_address> RecentOpens;
   bool TargetsLoaded = false;
   instant TargetsCurrentAt{};
+  instant ProofNeededAfter = instant::min();
   instant NextExpireAt{};
   /// Time of the last sweep; Never before the first one.
   instant SweptAt = Never;
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -40,6 +40,12 @@
   /// them, so open flows of any service are accepted until the last of these flows has ended.
   void onVersionsMissed(instant Now) { HistoryCompleteAt = Now + FlowLifetime; }
 
+  /// The store had no version at \p At that this table hasn't seen.
+  void setCurrentAt(instant At) { CurrentAt = At; }
+  /// Returns whether the routes include all versions under which other balancers can have opened a
+  /// flow before \p Time.
+  bool isCurrentAsOf(instant Time) const { return Time < CurrentAt; }
+
   /// Returns whether packets of an open flow of \p Route may be forwarded to \p Service.
   bool allowsFlow(const active_route &Route, const std::string &Service, instant Now) const {
     return Route.FlowServices.contains(Service) || Now < HistoryCompleteAt;
@@ -54,6 +60,7 @@
   duration FlowLifetime;
   /// Time from which every open flow was opened under a version that this table has seen.
   instant HistoryCompleteAt{};
+  instant CurrentAt{};
   std::uint64_t Version = 0;
   duration IdleTimeout = routing_configuration().IdleTimeout;
   std::map<ipv4_endpoint, active_route> Routes;
--- a/src/forward/tracked_flow.h
+++ b/src/forward/tracked_flow.h
@@ -30,6 +30,9 @@
   /// When the last packet that wasn't a repeat was forwarded.
   instant SentAt{};
   instant LastPacketAt{};
+  /// When a packet first had no route, or a target that the route doesn't allow; Never if the last
+  /// packet had both.
+  instant RouteMismatchAt = Never;
 };
 
 } // namespace briarpoint
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -186,6 +186,10 @@
   void shareSuspicions();
   void receiveWhenReady();
   void receive();
+  /// Passes on how current the routes and targets are.
+  void updateCurrency();
+  /// Reads the store's revision if flows wait for proof that the routes and targets are current.
+  void requestProof();
   void reload(const read_function &Read);
 };
 
@@ -245,12 +249,23 @@
 }
 
 void forwarder::parts::receive() {
-  Packets.setTargetsCurrentAt(RegistrationWatcher.upToDateAt());
+  updateCurrency();
   Socket.receive();
   // Another balancer has assigned a flow to a target that is unknown here. The target's
   // registration may be delayed on a connection that has gone silent.
   if (Socket.consumeUnknownTokenFlag())
     RegistrationWatcher.refresh();
+  requestProof();
+}
+
+void forwarder::parts::updateCurrency() {
+  Packets.setTargetsCurrentAt(RegistrationWatcher.upToDateAt());
+  Routes.setCurrentAt(ConfigurationWatcher.upToDateAt());
+}
+
+void forwarder::parts::requestProof() {
+  if (Packets.proofNeededAfter() >= Watchers.revisionRequestedAt())
+    Watchers.readRevision();
 }
 
 void forwarder::parts::shareSuspicions() {
@@ -268,7 +283,9 @@
 }
 
 void forwarder::parts::sweep() {
+  updateCurrency();
   Socket.sweep();
+  requestProof();
   shareSuspicions();
   receiveWhenReady();
   if (!stopping())
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -59,8 +59,11 @@
   const forward_decision Decision = Forwarder.decide(Packet, Now);
   expectDecision(Decision, forward_action::Forward, forward_reason::Open);
   EXPECT_EQ(Decision.Target, Targets.find("i-1"));
-  // Once the routes are known, they apply to flows that were forwarded before.
+  // Once the routes are known and current, they apply to flows that were forwarded before.
   Routes.apply({1, {{"mail", {2, 443}, 0, {{"mail", 1}}}}, seconds(15)});
+  expectDecision(Forwarder.decide(Packet, Now), forward_action::Forward,
+                 forward_reason::RouteUnconfirmed);
+  Routes.setCurrentAt(Now + milliseconds(1));
   expectDecision(Forwarder.decide(Packet, Now), forward_action::Reset,
                  forward_reason::OtherService);
   Packet.Flow.Service.Port = 444;
@@ -159,9 +162,20 @@
 
 // Guards against forwarding packets of one service to a target of another.
 TEST_F(forwarding_with_another_service, resetsATokenOfAServiceThatTheRouteNeverNamed) {
+  Routes.setCurrentAt(Now + milliseconds(1));
   expectDecision(send(7, OtherToken, 500), forward_action::Reset, forward_reason::OtherService);
 }
 
+// Guards against a reset of a flow that another balancer opened after the route got a further
+// service, of which this balancer doesn't know yet.
+TEST_F(forwarding_with_another_service, keepsFlowsWhileTheRoutesMayBeOutdated) {
+  Routes.setCurrentAt(Now);
+  expectDecision(send(7, OtherToken, 500), forward_action::Forward,
+                 forward_reason::RouteUnconfirmed);
+  Routes.apply({2, {{"web", WebAddress, 0, {{"web", 1}, {"mail", 1}}}}, seconds(15)});
+  expectDecision(send(7, OtherToken, 500), forward_action::Forward, forward_reason::Open);
+}
+
 // Guards against broken flows after a change of a route's services: open flows stay at their
 // targets.
 TEST_F(forwarding_with_another_service, keepsFlowsOfAServiceThatTheRouteNamedBefore) {
@@ -176,9 +190,70 @@
   Routes.onVersionsMissed(Now);
   expectDecision(send(7, OtherToken, 500), forward_action::Forward, forward_reason::Open);
   Now += seconds(61);
+  Routes.setCurrentAt(Now + milliseconds(1));
   expectDecision(send(8, OtherToken, 500), forward_action::Reset, forward_reason::OtherService);
 }
 
+/// An open flow whose route isn't in the configuration in force here.
+class forwarding_without_the_route : public forwarding_to_one_target {
+protected:
+  forwarding_without_the_route() { Routes.apply({2, {}, seconds(15)}); }
+};
+
+// Guards against resets of flows on a route that was just added: another balancer that has the
+// version opened them, and the routers now choose this one (review, case 1).
+TEST_F(forwarding_without_the_route, keepsFlowsOfARouteThatIsAddedLater) {
+  Routes.setCurrentAt(Now);
+  const forward_decision Decision = send(7, First.Token, 500);
+  expectDecision(Decision, forward_action::Forward, forward_reason::RouteUnconfirmed);
+  EXPECT_EQ(Decision.Target, &First);
+  Now += milliseconds(900);
+  Routes.apply({3, {{"web", WebAddress, 0, {{"web", 1}}}}, seconds(15)});
+  Routes.setCurrentAt(Now);
+  expectDecision(send(7, First.Token, 600, 100), forward_action::Forward, forward_reason::Open);
+}
+
+// Guards against resets by a balancer that has just started with an old list (review, case 2).
+// Nothing is proven of such a list, whatever time has passed.
+TEST_F(forwarding_without_the_route, keepsFlowsWhileItsConfigurationWasNeverProvenCurrent) {
+  for (std::uint32_t I = 0; I < 20; ++I) {
+    expectDecision(send(7, First.Token, 500 + I, 100 * I), forward_action::Forward,
+                   forward_reason::RouteUnconfirmed);
+    Now += milliseconds(500);
+  }
+}
+
+// Guards against flows on a removed route that go on although the removal is in force everywhere,
+// also if their callers only receive.
+TEST_F(forwarding_without_the_route, endsFlowsOnceTheConfigurationIsProvenCurrent) {
+  EXPECT_EQ(send(7, First.Token, 500).Action, forward_action::Forward);
+  EXPECT_EQ(send(8, First.Token, 500, 0, 0).Action, forward_action::Forward);
+  EXPECT_EQ(Forwarder.proofNeededAfter(), Now);
+  Routes.setCurrentAt(Now + milliseconds(1));
+  Now += milliseconds(200);
+  expectDecision(send(7, First.Token, 500), forward_action::Reset, forward_reason::NoRoute);
+  expectDecision(send(8, First.Token, 900, 0, 0), forward_action::Reset, forward_reason::NoRoute);
+  // The reset may be lost.
+  expectDecision(send(7, First.Token, 500), forward_action::Reset, forward_reason::NoRoute);
+}
+
+// Guards against resets because of a proof from before the flow: its route may have been added
+// after that.
+TEST_F(forwarding_without_the_route, needsAProofForEachFlow) {
+  send(7, First.Token, 500);
+  Routes.setCurrentAt(Now + milliseconds(1));
+  Now += seconds(1);
+  expectDecision(send(7, First.Token, 600, 100), forward_action::Reset, forward_reason::NoRoute);
+  expectDecision(send(8, First.Token, 500), forward_action::Forward,
+                 forward_reason::RouteUnconfirmed);
+}
+
+// Guards against new flows on a route that may have been removed, and callers that wait for one.
+TEST_F(forwarding_without_the_route, refusesNewFlowsAtOnce) {
+  expectDecision(open(7), forward_action::Reset, forward_reason::NoRoute);
+  EXPECT_EQ(Forwarder.proofNeededAfter(), instant::min());
+}
+
 class forwarding_to_a_removed_target : public forwarding_to_one_target {
 protected:
   forwarding_to_a_removed_target() {
