Don't reset flows of other balancers for an entry that may be older than they are

What callers would see: a target leaves and starts again under its id at another address. A forwarder that has only the removal, or only the old address, sends the flows that others opened at the new one to the old address, and resets them with target_gone or target_silent after a few repeats.

Cause: the evidence against a target is gathered at the address of an entry that may be older than the flow.

Ruled out: a longer wait for all flows, which would delay callers of targets that failed. A flow that was answered through this forwarder was opened under an entry that it has, so nothing changes for it.

Change: any other flow is reset only if the targets are proven current as of its last packet that wasn't a repeat, or 1.5 s after that packet if no proof comes. The first repeat requests the proof.

Tests: endsFlowsOfOtherBalancersAtTheirFirstPacket demanded a reset without proof; endsFlowsOfOtherBalancersOnceItsEntryIsProvenCurrent demands it with proof, and no reset before.

--- a/src/forward/flow_tracker.cpp
+++ b/src/forward/flow_tracker.cpp
@@ -47,6 +47,7 @@
       Observer.onOpened(Now - Flow.SentAt);
     else if (Flow.AwaitingAnswer)
       recordAnswer(Flow, Now);
+    Flow.Answered = Flow.Target != nullptr && (Flow.Answered || Flow.AwaitingAnswer);
     Flow.Opening = false;
     Flow.AwaitingAnswer = false;
   }
@@ -71,6 +72,7 @@
   if (Flow.Target != nullptr)
     --Flow.Target->OpenFlows;
   Flow.Target = Target;
+  Flow.Answered = false;
   if (Target != nullptr)
     ++Target->OpenFlows;
 }
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -144,7 +144,7 @@
     }
     requestProof(Flow->RouteMismatchAt);
   }
-  if (unresponsive(*Found, Now)) {
+  if (unresponsive(*Found, Now) && hasCurrentTarget(Flow, Now)) {
     Flows.erase(Packet.Flow);
     return {refusal(Packet), reasonOfReset(*Found, Now), Found, Repeats};
   }
@@ -159,7 +159,8 @@
   tracked_flow *Flow = Flows.find(Packet.Flow);
   // The token takes precedence over the tracked target, because another balancer may have assigned
   // a repeat of the opening packet to a different target.
-  if (Flow != nullptr && Flow->Target != &Found)
+  const bool Reassigned = Flow != nullptr && Flow->Target != &Found;
+  if (Reassigned)
     flow_tracker::reassign(*Flow, &Found);
   if (Flow != nullptr)
     Flows.observe(*Flow, Packet, Now);
@@ -167,13 +168,28 @@
     Flow = Flows.add(Packet, &Found, Now);
   if (Flow == nullptr)
     return nullptr;
+  // This packet acknowledges what the target sent in reply to another balancer.
+  if (Reassigned)
+    Flow->Answered = false;
   if (Allowed)
     Flow->RouteMismatchAt = Never;
   else
     Flow->RouteMismatchAt = std::min(Flow->RouteMismatchAt, Now);
+  if (!Flow->Answered && Flow->Repeats > 0)
+    requestProof(Flow->SentAt);
   return Flow;
 }
 
+bool packet_forwarder::hasCurrentTarget(const tracked_flow *Flow, instant Now) {
+  if (Flow == nullptr)
+    return false;
+  if (Flow->Answered || Flow->SentAt < TargetsCurrentAt ||
+      Now - Flow->SentAt >= Settings.MaxProofTime)
+    return true;
+  requestProof(Flow->SentAt);
+  return false;
+}
+
 forward_decision packet_forwarder::handleUnknownToken(const caller_packet &Packet, instant Now) {
   tracked_flow *Flow = Flows.find(Packet.Flow);
   if (Flow == nullptr)
@@ -195,7 +211,8 @@
       return true;
     // A caller that is opening a flow repeats its packet anyway, possibly through another balancer
     // that has assigned the flow to a working target. A reset could end that flow.
-    if (Flow.Opening || Flow.Target == nullptr || !unresponsive(*Flow.Target, Now))
+    if (Flow.Opening || Flow.Target == nullptr || !unresponsive(*Flow.Target, Now) ||
+        !hasCurrentTarget(&Flow, Now))
       return false;
     Reset(Address, Flow, reasonOfReset(*Flow.Target, Now));
     return true;
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -21,6 +21,9 @@
   /// Time for which packets with an unknown token are dropped before the flow is reset. The target
   /// may have registered only recently; meanwhile the caller repeats its packet.
   duration UnknownTokenGracePeriod = std::chrono::milliseconds(1500);
+  /// Maximum time for which a reset of a flow with an unresponsive target waits for proof that the
+  /// target's entry is current. It is exceeded only while the store doesn't answer.
+  duration MaxProofTime = std::chrono::milliseconds(1500);
 };
 
 /// Decides for each packet of a caller whether it is forwarded, and to which target, dropped, or
@@ -48,9 +51,10 @@
   bool ready() const { return Routes.version() != 0 && forwardsOpenFlows(); }
   void setTargetsLoaded() { TargetsLoaded = true; }
 
-  /// All entries of targets that the store had at \p At are registered. A flow with an unknown
-  /// token is reset only if this is later than its last packet that wasn't a repeat; until then the
-  /// target may have registered without this balancer having received its entry.
+  /// All entries of targets that the store had at \p At are registered. Other balancers may have
+  /// opened a flow to an entry that isn't known here yet, so a flow is reset for its target only if
+  /// this is later than its last packet that wasn't a repeat. For a flow that was answered through
+  /// this balancer, the entry is known.
   void setTargetsCurrentAt(instant At) { TargetsCurrentAt = At; }
 
   /// Proof that the routes and targets are current at a later time than this would allow a decision
@@ -69,6 +73,9 @@
   /// isn't tracked. \p Allowed tells whether the routes allow the packet.
   tracked_flow *trackOpenFlow(const caller_packet &Packet, target &Found, bool Allowed,
                               instant Now);
+  /// Returns whether the flow's target was registered here with its present entry, or a newer one,
+  /// when the flow was opened. \p Flow may be nullptr.
+  bool hasCurrentTarget(const tracked_flow *Flow, instant Now);
   void requestProof(instant After) { ProofNeededAfter = std::max(ProofNeededAfter, After); }
   target *chooseTarget(const caller_packet &Packet, const active_route &Route,
                        const target *Avoided, instant Now);
--- a/src/forward/tracked_flow.h
+++ b/src/forward/tracked_flow.h
@@ -23,6 +23,9 @@
   bool Opening = false;
   /// The caller waits for an answer to data or to the packet that opened the flow.
   bool AwaitingAnswer = false;
+  /// The caller has received an answer to a packet that this balancer forwarded to Target. So the
+  /// target's entry here is the one under which the flow was opened.
+  bool Answered = false;
   /// Number of repeats of the packet with this sequence number.
   std::uint8_t Repeats = 0;
   /// Result of inferred_health::onRepeat() at the last repeat; 0 before the first one.
--- a/tests/forward/forwarding_to_two_targets_test.cpp
+++ b/tests/forward/forwarding_to_two_targets_test.cpp
@@ -210,10 +210,15 @@
 }
 
 // Guards against another wait for callers whose flows reach this balancer from another one after it
-// has reset all flows to the target.
-TEST_F(forwarding_to_a_silent_target, endsFlowsOfOtherBalancersAtTheirFirstPacket) {
+// has reset all flows to the target. The target may have started again at another address, so proof
+// is needed that its entry here is the one under which they were opened.
+TEST_F(forwarding_to_a_silent_target, endsFlowsOfOtherBalancersOnceItsEntryIsProvenCurrent) {
   sendWithoutAnswer();
   repeatAgain();
+  Forwarder.setTargetsCurrentAt(Now);
+  expectDecision(send(999, First.Token, 500), forward_action::Forward, forward_reason::Open);
+  EXPECT_EQ(Forwarder.proofNeededAfter(), Now);
+  Forwarder.setTargetsCurrentAt(Now + milliseconds(1));
   expectDecision(send(999, First.Token, 500), forward_action::Reset, forward_reason::TargetSilent);
 }
 
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -290,6 +290,56 @@
   EXPECT_EQ(sweep(), std::vector<std::uint16_t>{7});
 }
 
+/// A target whose entry was removed has started again under its id at another address, which this
+/// balancer doesn't know yet. Flows that other balancers opened at it come here.
+class forwarding_to_a_target_that_moved : public forwarding_to_a_removed_target {
+protected:
+  /// Callers whose flows were answered through this balancer under the old entry.
+  const std::vector<std::uint16_t> OwnPorts{7, 8};
+  const std::vector<std::uint16_t> Ports{21, 22};
+
+  /// Sends data on two flows of other balancers, and repeats it after 200 ms.
+  void repeatUnanswered() {
+    for (const std::uint16_t Port : Ports)
+      send(Port, First.Token, 500);
+    Now += milliseconds(200);
+    for (const std::uint16_t Port : Ports)
+      EXPECT_EQ(send(Port, First.Token, 500).Action, forward_action::Forward) << Port;
+  }
+};
+
+// Guards against resets of flows that are open at a target because its old entry was removed.
+TEST_F(forwarding_to_a_target_that_moved, keepsFlowsOfOtherBalancersUntilItsNewEntryIsKnown) {
+  Forwarder.setTargetsCurrentAt(Now);
+  const instant SentAt = Now;
+  repeatUnanswered();
+  EXPECT_EQ(sweep(), OwnPorts);
+  EXPECT_EQ(Forwarder.proofNeededAfter(), SentAt);
+  target_registration Restarted = registration("i-1", 1);
+  Restarted.Address.Address += 1000;
+  Restarted.StartedMs = 7;
+  Targets.put(Restarted, Now);
+  Forwarder.setTargetsCurrentAt(Now);
+  EXPECT_EQ(send(21, First.Token, 500).Target->Registration.Address, Restarted.Address);
+  EXPECT_TRUE(sweep().empty());
+}
+
+// Guards against callers that wait for a target that has left.
+TEST_F(forwarding_to_a_target_that_moved, endsTheFlowsOnceItsEntryIsProvenCurrent) {
+  repeatUnanswered();
+  EXPECT_EQ(sweep(), OwnPorts);
+  Forwarder.setTargetsCurrentAt(Now);
+  EXPECT_EQ(sweep(), Ports);
+}
+
+// Guards against callers that wait until their requests time out while the store is away.
+TEST_F(forwarding_to_a_target_that_moved, endsTheFlowsWithoutProofIfTheStoreDoesNotAnswer) {
+  repeatUnanswered();
+  EXPECT_EQ(sweep(), OwnPorts);
+  Now += milliseconds(1300);
+  EXPECT_EQ(sweep(), Ports);
+}
+
 // Guards against latencies that include the caller's pause between two requests.
 TEST_F(forwarding_to_one_target, measuresHandshakesAndAnswers) {
   openAnswered(7);
