Report a started forwarder as ready once its first lists are proven current

What callers saw: a forwarder that was stopped and started by plan is put into rotation while its stale lists lack a route that all others have had for 2.3 s.

Cause: readiness needed any routes and targets, also those of a stale list.

Ruled out: linearizable first lists. After a loss of power hundreds of forwarders start at once, and these calls count towards the store's rate.

Change: start_gate keeps the forwarder out of rotation until a read of the store's revision has shown that routes and targets are current, and at most 2 s after they were read. Packets that arrive meanwhile are forwarded.

--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "forwarder/registration_listener.h"
 #include "forwarder/revision_exchange_log.h"
 #include "forwarder/route_listener.h"
+#include "forwarder/start_gate.h"
 #include "forwarder/store_call_log.h"
 #include "forwarder/watch_settings.h"
 #include "io/http_get_server.h"
@@ -124,6 +125,7 @@
   object_watcher ConfigurationWatcher;
   http_get_server ReadinessServer;
   http_get_server OperatorServer;
+  start_gate StartGate;
   bool ConfigurationStarted = false;
   /// Packets are being read. Before that, they stay in the socket's buffer.
   bool Receiving = false;
@@ -175,7 +177,10 @@
   bool stopping() const { return StopBeganAt != Never; }
   /// Whether routers should use this balancer.
   bool ready() const {
-    return Packets.ready() && !stopping() && Clock.now() >= Registrations.assumedCompleteAt();
+    const instant Now = Clock.now();
+    return Packets.ready() && !stopping() && Now >= Registrations.assumedCompleteAt() &&
+           StartGate.isOpen(ConfigurationWatcher.upToDateAt(), RegistrationWatcher.upToDateAt(),
+                            Now);
   }
   forwarder_status status();
   http_response answerReadiness(const std::string &Path) const;
@@ -237,8 +242,10 @@
 }
 
 void forwarder::parts::receiveWhenReady() {
-  if (Packets.ready())
+  if (Packets.ready()) {
+    StartGate.onLoaded(Clock.now());
     Socket.handlePostponed();
+  }
   if (Receiving || !(Packets.forwardsOpenFlows() || Clock.now() >= StartedAt + MaxStartupWait))
     return;
   Receiving = true;
--- /dev/null
+++ b/src/forwarder/start_gate.h
@@ -0,0 +1,35 @@
+#ifndef BRIARPOINT_FORWARDER_START_GATE_H
+#define BRIARPOINT_FORWARDER_START_GATE_H
+
+#include "base/instant.h"
+
+namespace briarpoint {
+
+/// Decides when a balancer that has started may be reported as ready. Its first lists are stale
+/// reads, which may lack a route or a target that other balancers have used for seconds. It is ready
+/// once the store's revision has shown that they are current, or if the revision can't be read for
+/// MaxProofTime, since old lists are better than none.
+class start_gate {
+public:
+  static constexpr duration MaxProofTime = std::chrono::milliseconds(2000);
+
+  /// Call it when routes and targets are known. Later calls have no effect.
+  void onLoaded(instant Now) {
+    if (OpensAt == Never)
+      OpensAt = Now + MaxProofTime;
+  }
+
+  /// Routes and targets contain everything that the store had at \p RoutesCurrentAt and
+  /// \p TargetsCurrentAt; instant{} if nothing was proven.
+  bool isOpen(instant RoutesCurrentAt, instant TargetsCurrentAt, instant Now) const {
+    return (RoutesCurrentAt != instant{} && TargetsCurrentAt != instant{}) || Now >= OpensAt;
+  }
+
+private:
+  /// When the gate opens without proof; Never before routes and targets are known.
+  instant OpensAt = Never;
+};
+
+} // namespace briarpoint
+
+#endif // BRIARPOINT_FORWARDER_START_GATE_H
