--- a/src/forwarder/start_gate.h
+++ b/src/forwarder/start_gate.h
@@ -6,9 +6,9 @@
 namespace briarpoint {
 
 /// Decides when a balancer that has started may be reported as ready. Its first lists are stale
-/// reads, which may lack a route or a target that other balancers have used for seconds. It is ready
-/// once the store's revision has shown that they are current, or if the revision can't be read for
-/// MaxProofTime, since old lists are better than none.
+/// reads, which may lack a route or a target that other balancers have used for seconds. It is
+/// ready once the store's revision has shown that they are current, or if the revision can't be
+/// read for MaxProofTime, since old lists are better than none.
 class start_gate {
 public:
   static constexpr duration MaxProofTime = std::chrono::milliseconds(2000);
