Read the store's JSON beside values that the parser refuses

What would be seen: another writer's entry with a number such as 1e999, NaN, a lone surrogate or bytes that are not UTF-8. The parser refuses the whole answer, so a process follows no target as long as the entry exists, and one that starts is never ready. The users' platform sends MessagePack, which isn't affected.

Cause: the JSON parser ends at the first such value, and the answer was malformed as a whole.

Ruled out: nesting of any depth (the parser and the document builder don't recurse), ports out of range, MessagePack.

Change: if the lenient reading fails, the text is read again with such words replaced by null and such characters by question marks. The structure of arrays and objects is not repaired.

Tests: without the repair nine cases of odd_entries.leaveTheOthersReadable fail; with it all pass. The other cases, and inMessagePackKeepEntriesBesideOneWithAnOddValue, passed before and stay as a guard.

--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -1,6 +1,7 @@
 #include "config/json_reader.h"
 
 #include "config/document_builder.h"
+#include "config/json_repair.h"
 
 namespace briarpoint {
 
@@ -20,7 +21,11 @@
 }
 
 document_value readLenientJson(std::string_view Text, const std::string &Source) {
-  return read(Text, Source, document_builder::policy::Lenient);
+  try {
+    return read(Text, Source, document_builder::policy::Lenient);
+  } catch (const findings_error &) {
+    return read(repairJson(Text), Source, document_builder::policy::Lenient);
+  }
 }
 
 } // namespace briarpoint
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -14,8 +14,9 @@
 
 /// Reads JSON text written by other programs, which may hold more than is needed here: a field may
 /// appear twice in an object, objects may have any number of fields, and values below the 32nd
-/// level are read as null.
-/// \throws findings_error for a syntax error.
+/// level are read as null. So are numbers beyond the range of double and words that are no JSON
+/// literals; bytes that are not valid in a string are read as question marks (repairJson()).
+/// \throws findings_error for a syntax error in the structure of arrays and objects.
 document_value readLenientJson(std::string_view Text, const std::string &Source);
 
 } // namespace briarpoint
--- a/tests/platform_adapter/store_object_format_test.cpp
+++ b/tests/platform_adapter/store_object_format_test.cpp
@@ -194,6 +194,87 @@
   EXPECT_EQ(Answer.Revision, 8U);
 }
 
+/// Content of an entry that another program wrote, as JSON text.
+struct odd_entry {
+  const char *Name;
+  std::string Spec;
+};
+
+std::string nestedArrays(std::size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+/// Returns an entry that is good but for \p Field.
+std::string entryWith(const std::string &Field) {
+  return R"({"service":"s","zone":"z","max_concurrency":2,"state":"ready",)" + Field + "}";
+}
+
+class odd_entries : public testing::TestWithParam<odd_entry> {
+protected:
+  /// Returns an object of the store with one entry.
+  static std::string object(const std::string &Name, const std::string &Spec) {
+    return R"({"meta":{"name":")" + Name + R"(","revision":4,"created":2},"spec":)" + Spec + "}";
+  }
+  /// Checks that the two good entries are read, and the odd one isn't.
+  void expectGoodEntries(const std::vector<stored_object> &Objects) {
+    ASSERT_EQ(Objects.size(), 3U);
+    EXPECT_EQ(Format.parseRegistration(Objects[0]).Name, "i-1");
+    EXPECT_THROW(Format.parseRegistration(Objects[1]), findings_error);
+    EXPECT_EQ(Format.parseRegistration(Objects[2]).Name, "i-3");
+  }
+  static std::vector<stored_object> objectsOf(const watch_answer &Answer) {
+    std::vector<stored_object> Result;
+    for (const object_change &Change : Answer.Changes)
+      Result.push_back(Change.Object);
+    return Result;
+  }
+
+  const std::string Good = entryWith(R"("address":"10.0.0.1:80")");
+  const std::string List = R"({"items":[)" + object("i-1", Good) + "," +
+                           object("i-2", GetParam().Spec) + "," + object("i-3", Good) +
+                           R"(],"has_more":false,"current_rev":8})";
+  const std::string Changes = R"({"events":[{"deleted":false,"object":)" + object("i-1", Good) +
+                              R"(},{"deleted":false,"object":)" + object("i-2", GetParam().Spec) +
+                              R"(},{"deleted":false,"object":)" + object("i-3", Good) +
+                              R"(}],"current_rev":8})";
+  store_object_format Format;
+};
+
+// Guards against one writer's entry that hides the others, in a list or among changes: a process
+// would follow none of them as long as it exists.
+TEST_P(odd_entries, leaveTheOthersReadable) {
+  const list_answer Listed = parseListAnswer(answer(200, List));
+  ASSERT_EQ(Listed.Outcome, call_outcome::Done);
+  expectGoodEntries(Listed.Objects);
+  const watch_answer Watched = parseWatchAnswer(answer(200, Changes));
+  ASSERT_EQ(Watched.Outcome, call_outcome::Done);
+  expectGoodEntries(objectsOf(Watched));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    store_answers, odd_entries,
+    testing::Values(
+        odd_entry{"nested", nestedArrays(5'000)},
+        odd_entry{"nested_address", entryWith(R"("address":)" + nestedArrays(5'000))},
+        odd_entry{"infinite_number", entryWith(R"("address":1e999)")},
+        odd_entry{"negative_infinite_number", entryWith(R"("address":-1e999)")},
+        odd_entry{"long_number", entryWith(R"("address":1)" + std::string(400, '0'))},
+        odd_entry{"large_integer", entryWith(R"("address":"10.0.0.1:80","born":)"
+                                             "18446744073709551616")},
+        odd_entry{"large_slots", entryWith(R"("address":"10.0.0.1:80",)"
+                                           R"("warmup_left_ms":4294967296)")},
+        odd_entry{"no_literal", entryWith(R"("address":NaN)")},
+        odd_entry{"infinity", entryWith(R"("address":-Infinity)")},
+        odd_entry{"port_out_of_range", entryWith(R"("address":"10.0.0.1:65536")")},
+        odd_entry{"port_zero", entryWith(R"("address":"10.0.0.1:0")")},
+        odd_entry{"huge_port", entryWith(R"("address":"10.0.0.1:99999999999999999999")")},
+        odd_entry{"invalid_utf8", entryWith("\"address\":\"\xff\xc0\x80\xed\xa0\x80\"")},
+        odd_entry{"lone_surrogate", entryWith(R"("address":"\ud800")")},
+        odd_entry{"invalid_escape", entryWith(R"("address":"\x \u12")")},
+        odd_entry{"control_characters", entryWith("\"address\":\"\x01\n\"")},
+        odd_entry{"null", "null"}, odd_entry{"number", "7"}),
+    [](const testing::TestParamInfo<odd_entry> &Info) { return Info.param.Name; });
+
 // Guards against answers in MessagePack that give other objects than the same answers in JSON.
 TEST_F(store_answers, areTheSameInBothEncodings) {
   const std::string Text = R"({"items":[
@@ -258,6 +339,44 @@
   }
 }
 
+// Guards against the same by values that only MessagePack can express, or that it expresses in
+// another way than JSON.
+TEST_F(store_answers, inMessagePackKeepEntriesBesideOneWithAnOddValue) {
+  const std::vector<std::vector<std::uint8_t>> OddValues{
+      {0xcb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0},                   // infinity
+      {0xcb, 0x7f, 0xf8, 0, 0, 0, 0, 0, 1},                   // not a number
+      {0xca, 0xff, 0x80, 0, 0},                               // -infinity, 32 bits
+      {0xcf, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, // 2^64 - 1
+      {0xd3, 0x80, 0, 0, 0, 0, 0, 0, 0},                      // -2^63
+      {0xa3, 0xff, 0xc0, 0x80},                               // text that is not UTF-8
+      {0xc4, 0x02, 0x31, 0x30},                               // bytes
+      {0xd7, 0xff, 0, 0, 0, 0, 0, 0, 0, 0},                   // timestamp
+      {0x82, 0x01, 0x02, 0xa1, 'a', 0x90},                    // map with a number as name
+      {0xb1, '1', '0', '.', '0', '.', '0', '.', '1', ':',     // port out of range
+       '9', '9', '9', '9', '9', '9', '9', '9'},
+  };
+  const std::string Entry = entryWith(R"("address":"10.0.0.1:80")");
+  const nlohmann::json Document = nlohmann::json::parse(
+      R"({"items":[{"meta":{"name":"i-1","revision":4},"spec":)" + Entry +
+      R"(},{"meta":{"name":"i-2","revision":5},"spec":)" + entryWith(R"("address":"@")") +
+      R"(},{"meta":{"name":"i-3","revision":6},"spec":)" + Entry +
+      R"(}],"has_more":false,"current_rev":8})");
+  const store_object_format Format;
+  for (const std::vector<std::uint8_t> &Odd : OddValues) {
+    SCOPED_TRACE(testing::PrintToString(Odd));
+    std::vector<std::uint8_t> Body = nlohmann::json::to_msgpack(Document);
+    const auto Place = std::find(Body.begin(), Body.end(), '@') - 1;
+    const auto At = Body.erase(Place, Place + 2);
+    Body.insert(At, Odd.begin(), Odd.end());
+    const list_answer Answer = parseListAnswer(packedAnswer(Body));
+    ASSERT_EQ(Answer.Outcome, call_outcome::Done);
+    ASSERT_EQ(Answer.Objects.size(), 3U);
+    EXPECT_EQ(Format.parseRegistration(Answer.Objects[0]).Name, "i-1");
+    EXPECT_THROW(Format.parseRegistration(Answer.Objects[1]), findings_error);
+    EXPECT_EQ(Format.parseRegistration(Answer.Objects[2]).Name, "i-3");
+  }
+}
+
 // Guards against changes that are reordered, and against deletions that are read as updates.
 TEST_F(store_answers, reportChangesInOrder) {
   const watch_answer Answer = parseWatchAnswer(answer(200, R"({"events":[
