Recover from one wrong revision that a reader answered

What would be seen: a reader answers a question with a revision far above the store's. The forwarder kept the highest revision for good, so no view counted as current again, and it used linearizable watches from then on.

Change: the revision that was read last counts. An answer below an earlier revision isn't used, since the store's revision never decreases; it ends with the new outcome went_back, which is logged and counted, and the forwarder asks the store itself.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -75,8 +75,7 @@
   ++(ListConsistency == read_consistency::Stale ? Counters.StaleLists : Counters.Lists);
   if (ListedObjects.empty())
     ListBeganAt = Call.SentAt;
-  const std::string After = ListedObjects.empty() ? "" : ListedObjects.back().Name;
-  Api.list(Kind, After, ListConsistency,
+  Api.list(Kind, lastName(ListedObjects), ListConsistency,
            [this](list_answer Answer) { finishList(std::move(Answer)); });
   if (Revision != 0) {
     startCheck();
@@ -181,7 +180,7 @@
 
 void object_watcher::onRevisionRead(std::optional<std::uint64_t> Read, instant RequestedAt) {
   if (Read) {
-    StoreRevision = std::max(StoreRevision, *Read);
+    StoreRevision = *Read;
     RevisionRequestedAt = RequestedAt;
     if (Revision >= StoreRevision)
       markUpToDate(RequestedAt);
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -160,7 +160,7 @@
   read_consistency WatchConsistency = read_consistency::Stale;
   /// Consistency of the watch in progress, or of the last one.
   read_consistency SentConsistency = read_consistency::Stale;
-  /// Highest known revision of the store.
+  /// Revision of the store that was read last.
   std::uint64_t StoreRevision = 0;
   /// When the last successful read of the store's revision was requested.
   instant RevisionRequestedAt{};
--- a/src/store/revision_exchange.cpp
+++ b/src/store/revision_exchange.cpp
@@ -42,7 +42,7 @@
 void revision_exchange::read(callback Done) {
   const endpoint *Reader = Question ? nullptr : chooseReader();
   if (Reader == nullptr) {
-    Own.read(std::move(Done));
+    readOwn(std::move(Done));
     return;
   }
   const instant Now = Scheduler.now();
@@ -70,6 +70,11 @@
     giveUp(revision_answer_outcome::Unknown);
     return;
   }
+  if (Message.Revision < LastRevision) {
+    giveUp(revision_answer_outcome::WentBack);
+    return;
+  }
+  LastRevision = Message.Revision;
   const question Ended = std::move(*Question);
   Question.reset();
   Listener.onQuestionEnded(From, revision_answer_outcome::Answered, Message.Revision,
@@ -95,7 +100,14 @@
   const instant Now = Scheduler.now();
   AvoidedUntil[Ended.Reader] = Now + Settings.AvoidanceTime;
   Listener.onQuestionEnded(Ended.Reader, Outcome, 0, Now - Ended.SentAt);
-  Own.read(std::move(Ended.Done));
+  readOwn(std::move(Ended.Done));
+}
+
+void revision_exchange::readOwn(callback Done) {
+  Own.read([this, Done = std::move(Done)](std::optional<std::uint64_t> Revision) {
+    LastRevision = Revision.value_or(LastRevision);
+    Done(Revision);
+  });
 }
 
 } // namespace briarpoint
--- a/src/store/revision_exchange.h
+++ b/src/store/revision_exchange.h
@@ -41,6 +41,9 @@
 /// the store is the only authority. If the reader doesn't answer in time or can't read the
 /// revision, the asker reads it itself.
 ///
+/// An answer below a revision that was read before is not used. The store is asked instead, so one
+/// wrong answer doesn't outlast the next read.
+///
 /// Every forwarder answers questions. The readers are the instances that the settings name; of
 /// these, the forwarders of a region ask the same one, by rendezvous hashing.
 class revision_exchange final : public revision_reader {
@@ -78,6 +81,8 @@
   void answer(const endpoint &To, const revision_message &Question);
   /// Ends the question in progress without an answer, and reads the revision from the store.
   void giveUp(revision_answer_outcome Outcome);
+  /// Reads the revision from the store.
+  void readOwn(callback Done);
 
   revision_exchange_settings Settings;
   revision_reader &Own;
@@ -90,6 +95,8 @@
   /// Ends of the avoidance, by reader.
   std::map<endpoint, instant> AvoidedUntil;
   std::optional<question> Question;
+  /// The revision that was read last.
+  std::uint64_t LastRevision = 0;
   std::size_t WaitingQuestions = 0;
 };
 
--- a/src/store/revision_exchange_listener.h
+++ b/src/store/revision_exchange_listener.h
@@ -18,14 +18,17 @@
   Unknown,
   /// No answer within the time limit.
   Unanswered,
+  /// The revision is below one that was read before. The store's revision never decreases, so one
+  /// of the two is wrong.
+  WentBack,
 };
 
-inline constexpr std::size_t RevisionAnswerOutcomeCount = 3;
+inline constexpr std::size_t RevisionAnswerOutcomeCount = 4;
 
 /// Returns the name in logs and metrics.
 constexpr std::string_view toString(revision_answer_outcome Outcome) {
-  constexpr std::array<std::string_view, RevisionAnswerOutcomeCount> Names{"answered", "unknown",
-                                                                           "unanswered"};
+  constexpr std::array<std::string_view, RevisionAnswerOutcomeCount> Names{
+      "answered", "unknown", "unanswered", "went_back"};
   return Names.at(static_cast<std::size_t>(Outcome));
 }
 
--- a/tests/store/revision_exchange_test.cpp
+++ b/tests/store/revision_exchange_test.cpp
@@ -277,6 +277,25 @@
   expectCurrent(asker());
 }
 
+// Guards against one wrong answer, far above the store's revision, after which no view counts as
+// current again: the next answer shows that one of them is wrong, and the store decides.
+TEST_F(asking_a_reader, isNotTrustedIfItsRevisionsGoBack) {
+  Network.Silenced.insert(preferredReader().Local);
+  asker().read();
+  asker().Exchange.receive(preferredReader().Local, {revision_message::type::Answer,
+                                                     Network.LastSent.Number, ~std::uint64_t{0}});
+  EXPECT_EQ(*asker().Result, ~std::uint64_t{0});
+  Network.Silenced.clear();
+  for (const revision_answer_outcome Outcome :
+       {revision_answer_outcome::WentBack, revision_answer_outcome::Answered}) {
+    Store.write("config");
+    asker().read();
+    advance(seconds(1));
+    expectCurrent(asker());
+    EXPECT_EQ(toString(asker().Outcomes.back()), toString(Outcome));
+  }
+}
+
 // Guards against forwarders that ask nobody after all readers were replaced.
 TEST_F(asking_a_reader, readsTheStoreItselfIfAllReadersAreOutdated) {
   asker().Exchange.setReaders({instance(201), instance(202)});
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -134,6 +134,16 @@
   EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(200));
 }
 
+// Guards against a view that never counts as current again after one wrong read of the revision.
+TEST_F(watching_after_a_change, isCurrentAgainAfterAWrongRevision) {
+  Watcher.onRevisionRead(~std::uint64_t{0}, Scheduler.Now);
+  Api.Check({call_outcome::Done, {}, 12});
+  const instant RequestedAt = Scheduler.Now + seconds(1);
+  Watcher.onRevisionRead(12, RequestedAt);
+  answerWatch(1, 12);
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt);
+}
+
 // Guards against a watch that waits in vain because it was sent just after the store had cut the
 // others. The check that confirms its position follows after the store has dropped its history.
 TEST_F(watching_listed_objects, restartsTheWatchAfterAnotherWatcherWasInterrupted) {
