Refuse a single object of the store whose own fields can't be read

What would be seen: one object without a readable name, revision or creation in a list, or one event without its object. The whole answer was malformed, so a process followed nothing as long as the object existed.

Cause: extractObject() threw for the whole answer.

Change: such an object is passed on with its defect, and the parser of its kind refuses it, with a log line and the counter that there are for odd entries. Lists continue after the last object that has a name; a page that has none but a successor stays malformed.

--- a/src/forwarder/registration_listener.cpp
+++ b/src/forwarder/registration_listener.cpp
@@ -55,7 +55,7 @@
                                       std::uint64_t Revision) {
   const instant Now = Clock.now();
   for (const object_change &Change : Changes) {
-    if (Change.Deleted) {
+    if (Change.Deleted && Change.Object.Defect.empty()) {
       Targets.remove(Change.Object.Name, Change.Object.Revision, Now);
       Log.write(log_event::RegistrationChanged, {{"target", Change.Object.Name},
                                                  {"state", "removed"},
@@ -65,7 +65,8 @@
       logChange(*Registration);
     } else {
       // An entry that can no longer be parsed counts as removed.
-      Targets.remove(Change.Object.Name, Change.Object.Revision, Now);
+      const bool HasRevision = Change.Object.Defect.empty();
+      Targets.remove(Change.Object.Name, HasRevision ? Change.Object.Revision : Revision, Now);
     }
   }
 }
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -4,6 +4,7 @@
 #include "base/instant.h"
 #include "config/document_value.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -21,6 +22,9 @@
   /// Revision of the store at which the object was last changed.
   std::uint64_t Revision = 0;
   document_value Value;
+  /// Why the store's own fields of the object can't be read, in which case Name may be empty and
+  /// the other fields are unset; empty if they can.
+  std::string Defect = {};
 };
 
 /// A change that a watch reports.
@@ -62,7 +66,7 @@
   Stale,
 };
 
-/// Answer to a list call: one page.
+/// Answer to a list call: one page. An object that can't be read doesn't affect the others.
 struct list_answer {
   call_outcome Outcome = call_outcome::Unanswered;
   std::vector<stored_object> Objects;
@@ -79,6 +83,14 @@
   std::uint64_t Revision = 0;
 };
 
+/// Returns the name after which the next page of a list begins: that of the last object whose name
+/// can be read, or an empty text.
+inline std::string lastName(const std::vector<stored_object> &Objects) {
+  const auto Found = std::find_if(Objects.rbegin(), Objects.rend(),
+                                  [](const stored_object &Object) { return !Object.Name.empty(); });
+  return Found == Objects.rend() ? std::string() : Found->Name;
+}
+
 /// Reads objects of the platform's store. At most one list or watch and one check may be in
 /// progress at a time. Each callback runs once, from the event loop, never from within the call.
 /// Destroying the object drops its calls.
--- /dev/null
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -0,0 +1,115 @@
+#include "forwarder/registration_listener.h"
+#include "forwarder/route_listener.h"
+#include "platform/http_object_api.h"
+#include "platform/store_object_format.h"
+
+#include "base/seeded_random.h"
+
+#include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+
+namespace briarpoint::platform {
+namespace {
+
+class fixed_clock final : public time_source {
+public:
+  instant now() override { return instant{std::chrono::hours(1)}; }
+};
+
+class ignored_latency final : public flow_observer {
+public:
+  void onOpened(duration) override {}
+  void onAnswered(duration) override {}
+};
+
+/// The parts of a forwarder that apply what the store answers, with their log and counters.
+class store_changes : public testing::Test {
+protected:
+  /// Returns the number of log lines of an event.
+  std::size_t linesOf(const std::string &Event) const {
+    std::size_t Count = 0;
+    std::istringstream Lines(Stream.str());
+    for (std::string Line; std::getline(Lines, Line);)
+      Count += Line.find("name=" + Event + " ") != std::string::npos ? 1U : 0U;
+    return Count;
+  }
+  static http_answer answer(const std::string &Body) {
+    return {http_answer::outcome::Answered, 200, {}, Body};
+  }
+  /// Returns an entry of a target that accepts flows, as an object of the store.
+  static std::string target(const std::string &Name, const std::string &Port) {
+    return R"({"meta":{"name":")" + Name + R"(","revision":5},"spec":{"service":"s","zone":"z",)" +
+           R"("max_concurrency":2,"state":"ready","address":"10.0.0.1:)" + Port + R"("}})";
+  }
+  static std::string event(const std::string &Object) {
+    return R"({"deleted":false,"object":)" + Object + "}";
+  }
+  void list(const std::string &Items) {
+    Registrations.onList(
+        parseListAnswer(answer(R"({"items":[)" + Items + R"(],"has_more":false,"current_rev":6})"))
+            .Objects,
+        6);
+  }
+  void change(const std::string &Events) {
+    Registrations.onChanges(
+        parseWatchAnswer(answer(R"({"events":[)" + Events + R"(],"current_rev":7})")).Changes, 7);
+  }
+  void configure(const std::string &Spec) {
+    Configuration.onList(
+        parseListAnswer(answer(R"({"items":[{"meta":{"name":"main","revision":5},"spec":)" + Spec +
+                               R"(}],"has_more":false,"current_rev":6})"))
+            .Objects,
+        6);
+  }
+
+  std::ostringstream Stream;
+  fixed_clock Clock;
+  event_log Log{std::make_shared<spdlog::logger>(
+                    "test", std::make_shared<spdlog::sinks::ostream_sink_mt>(Stream)),
+                Clock};
+  store_object_format Format;
+  seeded_random Random{1};
+  ignored_latency Latency;
+  forwarder_counters Counters;
+  route_table Routes;
+  target_registry Targets{target_registry_settings()};
+  packet_forwarder Forwarder{{}, Routes, Targets, Random, Latency};
+  registration_listener Registrations{Format, Targets, Forwarder, Clock, Log, Counters, [] {}};
+  route_listener Configuration{Format, Routes, Clock, Log, Counters, [] {}};
+};
+
+// Guards against an odd entry that hides the good ones of a list, or that nobody is told of: it
+// gives one log line and is counted.
+TEST_F(store_changes, inAListSkipOddEntries) {
+  list(target("i-1", "80") + "," + target("i-2", "65536") + R"(,{"meta":{}},7,)" +
+       target("i-3", "1e999") + "," + target("i-4", "80"));
+  EXPECT_TRUE(Targets.contains("i-1"));
+  EXPECT_TRUE(Targets.contains("i-4"));
+  EXPECT_EQ(Targets.size(), 2U);
+  EXPECT_EQ(Counters.RefusedRegistrations, 4U);
+  EXPECT_EQ(linesOf("registration_refused"), 4U);
+}
+
+// Guards against the same among the changes that a watch reports.
+TEST_F(store_changes, ofAWatchSkipOddEntries) {
+  list(target("i-1", "80"));
+  change("7," + event(R"({"meta":{"name":"i-9"}})") + "," + event(target("i-2", "0")) + "," +
+         event(target("i-3", "80")));
+  EXPECT_TRUE(Targets.contains("i-3"));
+  EXPECT_EQ(Targets.size(), 2U);
+  EXPECT_EQ(Counters.RefusedRegistrations, 3U);
+  EXPECT_EQ(linesOf("registration_refused"), 3U);
+}
+
+// Guards against a target that stays in use although its entry can no longer be read, also if the
+// entry's revision can't be read.
+TEST_F(store_changes, removeATargetWhoseEntryTurnedOdd) {
+  list(target("i-1", "80") + "," + target("i-2", "80"));
+  change(event(R"({"meta":{"name":"i-1","revision":"x"}})") + "," + event(target("i-2", "70000")));
+  EXPECT_TRUE(Targets.find("i-1")->removed());
+  // The revision of the odd entry of i-2 is that of its good one.
+  EXPECT_TRUE(Targets.find("i-2")->removed());
+}
+
+} // namespace
+} // namespace briarpoint::platform
