Follow the other routes of a configuration that has an odd one

What would be seen: a route, or a limit, with a value that this version doesn't accept. The whole version was refused, so no change of any route took effect.

Change: a route that can't be read is left out with a log line and a counter; if an earlier version has it under its name, it stays as it was. A limit that can't be read has its default. While routes are refused, the table proves nothing about open flows, so none is reset for a route that may be among them.

The state dump replaces bytes of names that are not UTF-8. Such a name, in an entry of another writer, ended the process when an operator requested /state.

--- a/src/config/finding_collector.h
+++ b/src/config/finding_collector.h
@@ -19,6 +19,8 @@
   }
 
   bool empty() const { return Findings.empty(); }
+  /// Must not be called if there are no findings.
+  const finding &first() const { return Findings.front(); }
   const std::string &source() const { return Source; }
 
   /// \throws findings_error with all findings in the order of their position, if there are any.
--- a/src/forward/route_table.cpp
+++ b/src/forward/route_table.cpp
@@ -28,6 +28,11 @@
       Active.FlowServices.insert(Entry.Service);
     }
   }
+  for (const refused_route &Refused : Configuration.RefusedRoutes)
+    for (auto &[Address, Active] : Routes)
+      if (!Refused.Name.empty() && Active.Route.Name == Refused.Name)
+        Next.try_emplace(Address, std::move(Active));
+  Complete = Configuration.RefusedRoutes.empty();
   Routes = std::move(Next);
   Version = Configuration.Version;
   IdleTimeout = Configuration.IdleTimeout;
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -29,7 +29,8 @@
   explicit route_table(duration FlowLifetime = std::chrono::seconds(60))
       : FlowLifetime(FlowLifetime) {}
 
-  /// Returns false and changes nothing if the version isn't above the one in force.
+  /// Returns false and changes nothing if the version isn't above the one in force. A refused route
+  /// stays as it was in the version before, if it is known by its name.
   bool apply(const routing_configuration &Configuration);
 
   /// Version in force; 0 before the first one.
@@ -44,7 +45,7 @@
   void setCurrentAt(instant At) { CurrentAt = At; }
   /// Returns whether the routes include all versions under which other balancers can have opened a
   /// flow before \p Time.
-  bool isCurrentAsOf(instant Time) const { return Time < CurrentAt; }
+  bool isCurrentAsOf(instant Time) const { return Complete && Time < CurrentAt; }
 
   /// Returns whether packets of an open flow of \p Route may be forwarded to \p Service.
   bool allowsFlow(const active_route &Route, const std::string &Service, instant Now) const {
@@ -61,6 +62,8 @@
   /// Time from which every open flow was opened under a version that this table has seen.
   instant HistoryCompleteAt{};
   instant CurrentAt{};
+  /// No route of the version in force was refused.
+  bool Complete = true;
   std::uint64_t Version = 0;
   duration IdleTimeout = routing_configuration().IdleTimeout;
   std::map<ipv4_endpoint, active_route> Routes;
--- a/src/forward/routing_configuration.h
+++ b/src/forward/routing_configuration.h
@@ -6,6 +6,16 @@
 
 namespace briarpoint {
 
+/// A route that can't be read.
+struct refused_route {
+  /// Empty if it can't be read, either.
+  std::string Name;
+  /// The first error in it.
+  std::string Finding;
+
+  auto operator<=>(const refused_route &) const = default;
+};
+
 /// The part of a version of the operators' configuration that forwarding uses.
 struct routing_configuration {
   /// Increases with each version; 0 means that there is none.
@@ -13,6 +23,10 @@
   std::vector<route> Routes;
   /// Time without packets after which tracking of a flow may end.
   duration IdleTimeout = std::chrono::seconds(15);
+  std::vector<refused_route> RefusedRoutes = {};
+  /// The first error in the limits, in which case those that can't be read have their defaults;
+  /// empty if there is none.
+  std::string RefusedLimits = {};
 
   auto operator<=>(const routing_configuration &) const = default;
 };
--- a/src/forwarder/forwarder_counters.h
+++ b/src/forwarder/forwarder_counters.h
@@ -18,6 +18,9 @@
   std::array<std::array<std::uint64_t, ForwardReasonCount>, ForwardActionCount> Decisions{};
   std::uint64_t RefusedRegistrations = 0;
   std::uint64_t RefusedConfigurations = 0;
+  std::uint64_t RefusedRoutes = 0;
+  std::uint64_t RefusedLimits = 0;
+  std::uint64_t RefusedSeeds = 0;
   /// Questions to readers of the store's revision, by revision_answer_outcome.
   std::array<std::uint64_t, RevisionAnswerOutcomeCount> Questions{};
   /// Questions of other forwarders.
--- a/src/forwarder/forwarder_status.cpp
+++ b/src/forwarder/forwarder_status.cpp
@@ -95,6 +95,20 @@
              ageOf(Status.Watchers.revisionReadAt(), Status.Now));
 }
 
+void addRefusals(metrics_page &Page, const forwarder_counters &Counters) {
+  const std::pair<const char *, std::uint64_t> Refusals[] = {
+      {"registration", Counters.RefusedRegistrations},
+      {"configuration", Counters.RefusedConfigurations},
+      {"route", Counters.RefusedRoutes},
+      {"limits", Counters.RefusedLimits},
+      {"seed", Counters.RefusedSeeds},
+  };
+  for (const auto &[Kind, Count] : Refusals)
+    Page.counter("briarpoint_forwarder_refused_objects_total",
+                 "Objects of the store, parts of them and seeds that can't be read.",
+                 {{"kind", Kind}}, Count);
+}
+
 void addWatcherMetrics(metrics_page &Page, const std::string &Kind, const object_watcher &Watcher,
                        instant Now) {
   addCallCounters(Page, Kind, Watcher.counters());
@@ -136,12 +150,7 @@
   Page.counter("briarpoint_forwarder_sent_total", "Datagrams sent.", {}, Counters.Sent);
   Page.counter("briarpoint_forwarder_malformed_total", "Datagrams that are no caller's packet.", {},
                Counters.Malformed);
-  Page.counter("briarpoint_forwarder_refused_objects_total",
-               "Objects of the store that can't be read.", {{"kind", "registration"}},
-               Counters.RefusedRegistrations);
-  Page.counter("briarpoint_forwarder_refused_objects_total",
-               "Objects of the store that can't be read.", {{"kind", "configuration"}},
-               Counters.RefusedConfigurations);
+  addRefusals(Page, Counters);
   Page.counter("briarpoint_forwarder_log_lines_left_out_total",
                "Log lines over the rate, or unread.", {},
                Status.SuppressedLogLines + Status.DroppedLogLines);
@@ -184,7 +193,8 @@
       {"store_revision_age_s", ageOf(Status.Watchers.revisionReadAt(), Status.Now)},
       {"targets", std::move(Targets)},
   };
-  return State.dump(2) + "\n";
+  // Names of entries that other programs write may have any bytes.
+  return State.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
 } // namespace briarpoint
--- a/src/forwarder/route_listener.cpp
+++ b/src/forwarder/route_listener.cpp
@@ -17,11 +17,15 @@
   try {
     const routing_configuration Configuration = Format.parseConfiguration(Object);
     const std::uint64_t Previous = Routes.version();
-    if (Routes.apply(Configuration))
-      Log.write(log_event::RoutesApplied, {{"version", std::to_string(Configuration.Version)},
-                                           {"previous", std::to_string(Previous)},
-                                           {"routes", std::to_string(Configuration.Routes.size())},
-                                           {"revision", std::to_string(Object.Revision)}});
+    if (!Routes.apply(Configuration))
+      return;
+    logRefusedParts(Configuration);
+    Log.write(log_event::RoutesApplied,
+              {{"version", std::to_string(Configuration.Version)},
+               {"previous", std::to_string(Previous)},
+               {"routes", std::to_string(Configuration.Routes.size())},
+               {"refused", std::to_string(Configuration.RefusedRoutes.size())},
+               {"revision", std::to_string(Object.Revision)}});
   } catch (const findings_error &Error) {
     ++Counters.RefusedConfigurations;
     Log.write(log_event::RoutesRefused, {{"finding", toString(Error.findings().front())},
@@ -30,6 +34,20 @@
   }
 }
 
+void route_listener::logRefusedParts(const routing_configuration &Configuration) {
+  const std::string Version = std::to_string(Configuration.Version);
+  for (const refused_route &Refused : Configuration.RefusedRoutes) {
+    ++Counters.RefusedRoutes;
+    Log.write(log_event::RouteRefused,
+              {{"route", Refused.Name}, {"finding", Refused.Finding}, {"version", Version}});
+  }
+  if (!Configuration.RefusedLimits.empty()) {
+    ++Counters.RefusedLimits;
+    Log.write(log_event::LimitsRefused,
+              {{"finding", Configuration.RefusedLimits}, {"version", Version}});
+  }
+}
+
 void route_listener::onList(const std::vector<stored_object> &Objects, std::uint64_t) {
   // Versions between the last reported change and this list may have been missed.
   Routes.onVersionsMissed(Clock.now());
--- a/src/forwarder/route_listener.h
+++ b/src/forwarder/route_listener.h
@@ -13,7 +13,8 @@
 namespace briarpoint {
 
 /// Applies the operators' configuration in the store to the routes. If it is missing or can't be
-/// parsed, the configuration in force stays.
+/// parsed, the configuration in force stays. A route that can't be parsed doesn't affect the
+/// others.
 class route_listener final : public object_listener {
 public:
   /// Everything that is referred to must outlive the object. \p OnList is called after each list.
@@ -26,6 +27,7 @@
 
 private:
   void apply(const stored_object &Object);
+  void logRefusedParts(const routing_configuration &Configuration);
 
   const object_format &Format;
   route_table &Routes;
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -71,6 +71,12 @@
                          "a call to the store ended"},
     log_event_definition{log_event::RevisionSourceChanged, "revision_source_changed", Info,
                          "the store's revision is learned from another source"},
+    log_event_definition{log_event::RouteRefused, "route_refused", Error,
+                         "route was refused; the other routes of the version are in force"},
+    log_event_definition{log_event::LimitsRefused, "limits_refused", Error,
+                         "limits of a configuration were refused; defaults are in force"},
+    log_event_definition{log_event::SeedRefused, "seed_refused", Warning,
+                         "seed in the settings was refused; the other seeds stay in use"},
     log_event_definition{
         log_event::RegistrationRefused, "registration_refused", Warning,
         "registration of a target was refused; the other registrations stay in use"},
--- a/tests/forwarder/operations_page_test.cpp
+++ b/tests/forwarder/operations_page_test.cpp
@@ -114,5 +114,15 @@
     EXPECT_NE(State.find(Part), std::string::npos) << Part;
 }
 
+// Guards against a name with arbitrary bytes, in an entry that another program wrote, that ends the
+// process when an operator requests the state.
+TEST_F(operations_page, dumpsTheStateWithNamesThatAreNotText) {
+  target_registration Registration;
+  Registration.Name = "\xff\xfe-2";
+  Registration.Number = 2;
+  Targets.put(Registration, instant{});
+  EXPECT_NE(stateText(status()).find("-2\""), std::string::npos);
+}
+
 } // namespace
 } // namespace briarpoint
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -111,5 +111,34 @@
   EXPECT_TRUE(Targets.find("i-2")->removed());
 }
 
+// Guards against one odd route that keeps the others of a version from taking effect, and against
+// traffic of a route that ends because its next version can't be read.
+TEST_F(store_changes, ofRoutesSkipOddOnes) {
+  configure(R"({"version":1,"routes":[
+      {"name":"a","hostname":"198.18.0.1","path_prefix":"/443/","service":"s"}]})");
+  configure(R"({"version":2,"routes":[
+      {"name":"a","hostname":"198.18.0.1","path_prefix":"/443/","priority":1e999},
+      {"name":"b","hostname":"198.18.0.2","path_prefix":"/443/","service":"s"}],
+      "limits":{"idle_timeout_ms":99999999999}})");
+  EXPECT_EQ(Routes.version(), 2U);
+  EXPECT_NE(Routes.find({0xc6120002, 443}), nullptr);
+  ASSERT_NE(Routes.find({0xc6120001, 443}), nullptr);
+  EXPECT_EQ(Routes.find({0xc6120001, 443})->Route.Services.size(), 1U);
+  EXPECT_EQ(Counters.RefusedRoutes, 1U);
+  EXPECT_EQ(linesOf("route_refused"), 1U);
+  EXPECT_EQ(Counters.RefusedLimits, 1U);
+  EXPECT_EQ(linesOf("limits_refused"), 1U);
+}
+
+// Guards against a reset of an open flow whose route is among those that can't be read.
+TEST_F(store_changes, ofRoutesProveNothingIfOneIsOdd) {
+  const instant Earlier = Clock.now() - std::chrono::seconds(1);
+  Routes.setCurrentAt(Clock.now());
+  configure(R"({"version":1,"routes":[7]})");
+  EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
+  configure(R"({"version":2,"routes":[]})");
+  EXPECT_TRUE(Routes.isCurrentAsOf(Earlier));
+}
+
 } // namespace
 } // namespace briarpoint::platform
