Start with the good seeds if one is odd

What would be seen: one seed with a port out of range. The settings were refused, so the process ended again and again.

Test: reportTheSeedThatIsMalformed demanded that the settings are refused; it now demands that the other seeds are used and that each odd one is reported with its place. With the refusal it fails.

--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -196,6 +196,7 @@
   /// Reads the store's revision if flows wait for proof that the routes and targets are current.
   void requestProof();
   void reload(const read_function &Read);
+  void reportRefusedSeeds(const std::vector<finding> &Refused);
 };
 
 forwarder_status forwarder::parts::status() {
@@ -323,6 +324,7 @@
       RevisionExchange.setReaders(readersOf(Settings));
     }
     Log.write(log_event::SettingsReloaded, {{"file", SettingsSource}});
+    reportRefusedSeeds(New.RefusedSeeds);
     // Settings that need a restart keep their old values.
     for (const std::string &Name : differingSettings(Settings, New))
       Log.write(log_event::RestartNeeded, {{"finding", Name}});
@@ -334,6 +336,13 @@
   }
 }
 
+void forwarder::parts::reportRefusedSeeds(const std::vector<finding> &Refused) {
+  for (const finding &Finding : Refused) {
+    ++Counters.RefusedSeeds;
+    Log.write(log_event::SeedRefused, {{"finding", toString(Finding)}});
+  }
+}
+
 forwarder::forwarder(const forwarder_settings &Settings, event_loop &Loop,
                      const forwarder_platform &Platform, event_log &Log, time_source &Clock,
                      const std::uint64_t &DroppedLogLines)
@@ -349,6 +358,7 @@
                                             {"data_centre", All.Settings.DataCentre},
                                             {"packets", toString(All.Settings.Packets)},
                                             {"store", toString(All.Settings.Store)}});
+  All.reportRefusedSeeds(All.Settings.RefusedSeeds);
   for (const int Signal : {SIGTERM, SIGINT})
     All.Loop.onSignal(Signal, [&All] { All.stop(); });
   All.Loop.onSignal(SIGHUP, [&All, &Read] { All.reload(Read); });
--- a/src/forwarder/forwarder_settings.cpp
+++ b/src/forwarder/forwarder_settings.cpp
@@ -70,7 +70,7 @@
   Root.optionalElements("seeds", [&](const document_value &Value, const std::string &Path) {
     endpoint Seed;
     if (std::string Error = convertValue(Value, Seed); !Error.empty())
-      Findings.add(Value, Path, std::move(Error));
+      Result.RefusedSeeds.push_back({Source, Value.Line, Value.Column, Path, std::move(Error)});
     else
       Result.Seeds.push_back(Seed);
   });
--- a/src/forwarder/forwarder_settings.h
+++ b/src/forwarder/forwarder_settings.h
@@ -1,6 +1,7 @@
 #ifndef BRIARPOINT_FORWARDER_FORWARDER_SETTINGS_H
 #define BRIARPOINT_FORWARDER_FORWARDER_SETTINGS_H
 
+#include "base/finding.h"
 #include "base/instant.h"
 #include "config/log_level.h"
 #include "net/endpoint.h"
@@ -30,6 +31,9 @@
   /// Addresses of a few instances, which may be outdated. Their forwarders read the store's
   /// revision for the others. The ports are ignored.
   std::vector<endpoint> Seeds;
+  /// Errors of seeds that can't be read and were left out. The list comes from other programs, so
+  /// one odd entry must not keep the process from starting.
+  std::vector<finding> RefusedSeeds;
   /// HTTP endpoint of the platform's store.
   endpoint Store;
   /// Time after SIGTERM within which the process must exit.
@@ -58,7 +62,7 @@
                                            const forwarder_settings &B);
 
 /// Parses settings in TOML. Unknown fields are ignored, because the platform may add fields.
-/// \throws findings_error with all findings.
+/// \throws findings_error with all findings other than RefusedSeeds.
 forwarder_settings parseForwarderSettings(std::string_view Text, const std::string &Source);
 
 } // namespace briarpoint
