End the batching delay when the store is known to be ahead

Cause: a stale watch reported the change of another target 2 s late, and the batching delay of 1.2 s began. A read of the revision that ended in it was ignored, because no call was in progress. The interval of the reads and the delay each take their share of the same limit, as if the other weren't there.

Ruled out: a shorter interval or delay, which costs calls at all times.

Change: the delay ends at a read that shows that the store is ahead, and doesn't begin while it is known to be. A delay after a failed call stays.

Tests: with the read ignored, or with the delay begun while behind, endsTheBatchingDelayWhenTheStoreIsAhead fails; if also delays after failures end, keepsTheDelayAfterAFailureWhenTheStoreIsAhead.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -61,6 +61,7 @@
 void object_watcher::beginCall(store_call_type Type, std::uint64_t FromRevision, duration Wait) {
   const instant Now = Scheduler.now();
   CallInProgress = true;
+  Batching = false;
   CheckAnswered = false;
   CheckedRevision = Revision;
   ++CallNumber;
@@ -185,6 +186,10 @@
     if (Revision >= StoreRevision)
       markUpToDate(RequestedAt);
   }
+  if (Batching && Revision < StoreRevision) {
+    scheduleCall(duration::zero());
+    return;
+  }
   // The next watch begins with a check if it is behind. A list or a short watch is linearizable.
   if (!CallInProgress || Phase != phase::Watch || !isPositionUsable())
     return;
@@ -262,7 +267,8 @@
       finishRefresh(Call.SentAt);
     if (StoreRevision != 0 && Revision >= StoreRevision)
       markUpToDate(RevisionRequestedAt);
-    scheduleCall(Settings.BatchingDelay);
+    Batching = true;
+    scheduleCall(Revision < StoreRevision ? duration::zero() : Settings.BatchingDelay);
   } else if (RefreshPending) {
     scheduleList();
   } else {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -28,7 +28,9 @@
   /// the moment when it drops its history.
   duration ProbeTimeout = std::chrono::milliseconds(300);
   /// Time between a change and the next watch. Changes come in groups, and each watch that returns
-  /// is a priced call. A change must be in force within 3 s.
+  /// is a priced call. A change must be in force within 3 s, so the time ends early when a read of
+  /// the store's revision shows that there are further changes: they may be as old as the read
+  /// before.
   duration BatchingDelay = std::chrono::milliseconds(250);
   /// Minimum time between two refreshes; each is a priced call.
   duration RefreshInterval = std::chrono::milliseconds(2000);
@@ -152,6 +154,8 @@
   /// Calls of scheduleList() since a watch last succeeded.
   std::uint32_t ListsSinceLastWatch = 0;
   bool CallInProgress = false;
+  /// No call is in progress, because further changes are batched until the next watch.
+  bool Batching = false;
   /// The last answer of the store showed that it has the history after Revision.
   bool PositionConfirmed = false;
   /// The first list was read, and the store's revision is to confirm the position after it.
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -134,6 +134,33 @@
   EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(200));
 }
 
+// Guards against a change that waits for the end of the batching delay although it is as old as the
+// read of the revision before the one that showed it (review, case 3).
+TEST_F(watching_after_a_change, endsTheBatchingDelayWhenTheStoreIsAhead) {
+  answerWatch(1, 12);
+  Watcher.onRevisionRead(12, Scheduler.Now);
+  EXPECT_GT(Scheduler.DueAt, Scheduler.Now);
+  Watcher.onRevisionRead(13, Scheduler.Now);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  EXPECT_EQ(Api.Calls.front().Revision, 12U);
+  EXPECT_EQ(Api.CheckedRevision, 12U);
+  // The stale watch reports an older change only.
+  Watcher.onRevisionRead(20, Scheduler.Now);
+  answerWatch(1, 15);
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  Api.Check({call_outcome::Done, {}, 15});
+  EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
+}
+
+// Guards against priced calls in quick succession: a delay after a failure isn't ended.
+TEST_F(watching_after_a_change, keepsTheDelayAfterAFailureWhenTheStoreIsAhead) {
+  failWatch(call_outcome::Refused);
+  const instant DueAt = Scheduler.DueAt;
+  Watcher.onRevisionRead(20, Scheduler.Now);
+  EXPECT_EQ(Scheduler.DueAt, DueAt);
+  EXPECT_TRUE(Api.Calls.empty());
+}
+
 // Guards against a view that never counts as current again after one wrong read of the revision.
 TEST_F(watching_after_a_change, isCurrentAgainAfterAWrongRevision) {
   Watcher.onRevisionRead(~std::uint64_t{0}, Scheduler.Now);
