Release the token of a removed target that answers nobody

Cause: a removed target keeps its token for the longest time that a flow can last; a forwarder that never saw its entry gives the token to the younger one. The registry's assumption that all forwarders have both doesn't hold after a start.

Change: when flows of a removed target would be reset because it answers nobody, its token goes to the other target that has it.

Tests: without a release, tokenIsReleasedByARemovedTarget and triesTheOtherOneBeforeItEndsAFlow fail; if the index is rebuilt without regard to it, the first one.

--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -146,6 +146,9 @@
   }
   if (unresponsive(*Found, Now) && hasCurrentTarget(Flow, Now)) {
     Flows.erase(Packet.Flow);
+    // A balancer that started after the target's entry was removed gives the token to another one.
+    if (Targets.releaseToken(*Found) != nullptr)
+      return forwardOpenFlow(Packet, Route, Now);
     return {refusal(Packet), reasonOfReset(*Found, Now), Found, Repeats};
   }
   if (Packet.Ends)
@@ -214,6 +217,9 @@
     if (Flow.Opening || Flow.Target == nullptr || !unresponsive(*Flow.Target, Now) ||
         !hasCurrentTarget(&Flow, Now))
       return false;
+    // The flow's next packet is sent to the new owner of the token.
+    if (Targets.releaseToken(*Flow.Target) != nullptr || !Flow.Target->OwnsToken)
+      return true;
     Reset(Address, Flow, reasonOfReset(*Flow.Target, Now));
     return true;
   });
--- a/src/forward/target.h
+++ b/src/forward/target.h
@@ -19,6 +19,8 @@
   /// False if another target has the same token and an older entry: a flow assigned to this target
   /// could not be distinguished from a flow of the other one.
   bool OwnsToken = true;
+  /// target_registry::releaseToken() gave the token to another target.
+  bool TokenReleased = false;
   /// When the entry disappeared from the store; Never while the entry exists.
   instant RemovedAt = Never;
   /// Time from which a target whose entry disappeared counts as gone. Until then the entry may only
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -5,6 +5,16 @@
 
 namespace briarpoint {
 
+namespace {
+
+/// Returns whether \p A owns the token rather than \p B if both have the same one.
+bool precedes(const target &A, const target &B) {
+  return std::tie(A.TokenReleased, A.Registration.Created, A.Registration.Name) <
+         std::tie(B.TokenReleased, B.Registration.Created, B.Registration.Name);
+}
+
+} // namespace
+
 void target_registry::put(const target_registration &Registration, instant Now) {
   std::unique_ptr<target> &Entry = Targets[Registration.Name];
   const bool Known = Entry != nullptr;
@@ -25,6 +35,7 @@
   Entry->RemovedAt = Never;
   Entry->GoneAt = Never;
   Entry->Lapsed = false;
+  Entry->TokenReleased = false;
   if (Changed)
     Entry->WarmUpEndsAt = Now + std::chrono::milliseconds(Registration.WarmUpMs);
   // Observations of the earlier process don't apply to the new one.
@@ -83,6 +94,24 @@
   return Found == Tokens.end() ? nullptr : Found->second;
 }
 
+target *target_registry::releaseToken(target &Removed) {
+  // Without a collision, each target is in Tokens.
+  if (!Removed.removed() || !Removed.OwnsToken || Tokens.size() == Targets.size())
+    return nullptr;
+  target *Next = nullptr;
+  for (const auto &[Name, Entry] : Targets)
+    if (Entry->Token == Removed.Token && !Entry->removed() &&
+        (Next == nullptr || precedes(*Entry, *Next)))
+      Next = Entry.get();
+  if (Next == nullptr)
+    return nullptr;
+  Removed.OwnsToken = false;
+  Removed.TokenReleased = true;
+  Next->OwnsToken = true;
+  Tokens[static_cast<std::uint32_t>(Next->Token)] = Next;
+  return Next;
+}
+
 target *target_registry::find(const std::string &Name) {
   const auto Found = Targets.find(Name);
   return Found == Targets.end() ? nullptr : Found->second.get();
@@ -96,9 +125,7 @@
 void target_registry::addToIndex(target &Target) {
   Services[Target.Registration.Service].push_back(&Target);
   target *&Owner = Tokens[static_cast<std::uint32_t>(Target.Token)];
-  Target.OwnsToken =
-      Owner == nullptr || std::tie(Target.Registration.Created, Target.Registration.Name) <
-                              std::tie(Owner->Registration.Created, Owner->Registration.Name);
+  Target.OwnsToken = Owner == nullptr || precedes(Target, *Owner);
   if (!Target.OwnsToken)
     return;
   if (Owner != nullptr)
--- a/src/forward/target_registry.h
+++ b/src/forward/target_registry.h
@@ -29,7 +29,9 @@
 ///
 /// Two targets may have the same token. The one whose entry the store created first owns the token,
 /// and the other one gets no new flows. All balancers receive entries in the order of the store's
-/// revisions, so a balancer that has the later target also has the earlier one.
+/// revisions, so a balancer that has the later target also has the earlier one, unless it started
+/// after the earlier entry was removed. Such a balancer opens flows at the later target, while the
+/// others keep the token for the removed one until releaseToken().
 class target_registry final : public flow_locator {
 public:
   explicit target_registry(target_registry_settings Settings) : Settings(std::move(Settings)) {}
@@ -48,6 +50,10 @@
   void expire(instant Now);
 
   target *findByToken(flow_token Token) override;
+  /// Gives the token of a removed target to another one that has the same token and an entry. Call
+  /// it when the removed target answers no caller. Returns the new owner; nullptr, and nothing
+  /// changes, if there is none.
+  target *releaseToken(target &Removed);
   /// Returns nullptr if there is no such target.
   target *find(const std::string &Name);
   /// Returns the targets of a service, including removed ones. Valid until the registry changes.
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -340,6 +340,45 @@
   EXPECT_EQ(sweep(), Ports);
 }
 
+/// A target has left, and another one has the same token. A balancer that started after that has
+/// opened flows at the other one.
+class forwarding_with_a_token_of_two_targets : public forwarding {
+protected:
+  forwarding_with_a_token_of_two_targets() {
+    target_registration Draining = registration("i-early", Numbers.first);
+    Draining.Draining = true;
+    Targets.put(Draining, Now);
+    add("i-late", Numbers.second);
+    Targets.remove("i-early", ++Revision, Now);
+    Now += milliseconds(1);
+    send(7, Token, 500);
+    Forwarder.setTargetsCurrentAt(Now + milliseconds(1));
+    for (const int Wait : {200, 400}) {
+      Now += milliseconds(Wait);
+      Last = send(7, Token, 500);
+    }
+  }
+
+  const std::pair<std::uint64_t, std::uint64_t> Numbers = collidingNumbers();
+  const flow_token Token = makeFlowToken(Numbers.first);
+  forward_decision Last;
+};
+
+// Guards against a reset of a flow at a live target because the token's former owner has left
+// (review, case 4).
+TEST_F(forwarding_with_a_token_of_two_targets, triesTheOtherOneBeforeItEndsAFlow) {
+  expectDecision(Last, forward_action::Forward, forward_reason::Open);
+  EXPECT_EQ(Last.Target->Registration.Name, "i-late");
+  EXPECT_TRUE(sweep().empty());
+  // Later than any suspicion of the former owner.
+  for (int I = 0; I < 8; ++I) {
+    Now += milliseconds(500);
+    EXPECT_TRUE(sweep().empty());
+  }
+  EXPECT_EQ(send(7, Token, 600, 100).Target->Registration.Name, "i-late");
+  EXPECT_EQ(open(9).Target->Registration.Name, "i-late");
+}
+
 // Guards against latencies that include the caller's pause between two requests.
 TEST_F(forwarding_to_one_target, measuresHandshakesAndAnswers) {
   openAnswered(7);
--- a/tests/forward/target_registry_test.cpp
+++ b/tests/forward/target_registry_test.cpp
@@ -158,5 +158,23 @@
   EXPECT_EQ(Targets.findByToken(makeFlowToken(Numbers.first)), &Late);
 }
 
+// Guards against a token that stays with a target that has left: balancers that started after that
+// open flows at the later target.
+TEST_F(targets_with_the_same_token, tokenIsReleasedByARemovedTarget) {
+  target &Early = add("i-early", Numbers.first);
+  target &Late = add("i-late", Numbers.second);
+  EXPECT_EQ(Targets.releaseToken(Early), nullptr);
+  Targets.remove("i-early", ++Revision, Now);
+  EXPECT_EQ(Targets.releaseToken(Early), &Late);
+  EXPECT_EQ(Targets.findByToken(Late.Token), &Late);
+  EXPECT_TRUE(Late.acceptsFlows(Now));
+  // Another target's end rebuilds the index.
+  add("i-other", 7);
+  Targets.remove("i-other", ++Revision, Now - seconds(61));
+  Targets.expire(Now);
+  EXPECT_EQ(Targets.findByToken(Late.Token), &Late);
+  EXPECT_EQ(Targets.releaseToken(Late), nullptr);
+}
+
 } // namespace
 } // namespace briarpoint
