Accept flows of missed versions for as long as others can open them

What callers would see: a forwarder lists the configuration, another one still follows an older version for up to 3 s and opens flows at a service that the newer version doesn't name. The first one resets them from 60 s after its list, although they are younger than the longest lifetime.

Cause: the time counted from the list on, not from the moment when the listed version is in force at all forwarders.

Change: the time that a version may take (configuration_time) is added.

--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -25,9 +25,11 @@
 /// The routes of the configuration in force. The version in force never decreases.
 class route_table {
 public:
-  /// \p FlowLifetime is the longest time that a flow can last.
-  explicit route_table(duration FlowLifetime = std::chrono::seconds(60))
-      : FlowLifetime(FlowLifetime) {}
+  /// \p FlowLifetime is the longest time that a flow can last, \p PropagationTime the longest time
+  /// that a version takes to be in force at all balancers.
+  explicit route_table(duration FlowLifetime = std::chrono::seconds(60),
+                       duration PropagationTime = std::chrono::seconds(3))
+      : FlowLifetime(FlowLifetime), PropagationTime(PropagationTime) {}
 
   /// Returns false and changes nothing if the version isn't above the one in force. A refused route
   /// stays as it was in the version before, if it is known by its name.
@@ -37,9 +39,10 @@
   std::uint64_t version() const { return Version; }
   duration idleTimeout() const { return IdleTimeout; }
 
-  /// Versions from before \p Now may have been missed. Other balancers may have opened flows under
-  /// them, so open flows of any service are accepted until the last of these flows has ended.
-  void onVersionsMissed(instant Now) { HistoryCompleteAt = Now + FlowLifetime; }
+  /// Versions from before \p Now may have been missed. Other balancers open flows under them until
+  /// the next version is in force there, so open flows of any service are accepted until the last
+  /// of these flows has ended.
+  void onVersionsMissed(instant Now) { HistoryCompleteAt = Now + PropagationTime + FlowLifetime; }
 
   /// The store had no version at \p At that this table hasn't seen.
   void setCurrentAt(instant At) { CurrentAt = At; }
@@ -59,6 +62,7 @@
 
 private:
   duration FlowLifetime;
+  duration PropagationTime;
   /// Time from which every open flow was opened under a version that this table has seen.
   instant HistoryCompleteAt{};
   instant CurrentAt{};
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -136,7 +136,8 @@
   parts(const forwarder_settings &AllSettings, event_loop &Loop, const forwarder_platform &Platform,
         event_log &Log, time_source &Clock, const std::uint64_t &DroppedLogLines)
       : Settings(AllSettings), Loop(Loop), Platform(Platform), Log(Log), Clock(Clock),
-        DroppedLogLines(DroppedLogLines), Random(randomSeed()), Routes(AllSettings.FlowLifetime),
+        DroppedLogLines(DroppedLogLines), Random(randomSeed()),
+        Routes(AllSettings.FlowLifetime, AllSettings.ConfigurationTime),
         Targets(registrySettings(AllSettings)),
         Packets(packetSettings(AllSettings), Routes, Targets, Random, Latency),
         DecisionLog(Log, Routes),
--- a/tests/forward/route_table_test.cpp
+++ b/tests/forward/route_table_test.cpp
@@ -53,5 +53,19 @@
   EXPECT_EQ(Routes.find(Address)->chooseService(0), nullptr);
 }
 
+// Guards against resets of flows that another balancer opened under a version that this one has
+// missed, within the time that the next version may take to be in force there.
+TEST(route_table, allowsFlowsThatABalancerOpensLaterUnderAMissedVersion) {
+  using std::chrono::seconds;
+  route_table Routes(seconds(60), seconds(3));
+  const instant ListedAt{seconds(100)};
+  Routes.onVersionsMissed(ListedAt);
+  Routes.apply(version(2, {{"new", 1}}));
+  const active_route &Route = *Routes.find(Address);
+  EXPECT_TRUE(Routes.allowsFlow(Route, "missed", ListedAt + seconds(62)));
+  EXPECT_FALSE(Routes.allowsFlow(Route, "missed", ListedAt + seconds(63)));
+  EXPECT_TRUE(Routes.allowsFlow(Route, "new", ListedAt + seconds(63)));
+}
+
 } // namespace
 } // namespace briarpoint
