Keep open flows while a newer version is refused

What callers would see: a version that can't be read at all is refused, and the routes of the earlier one stay in force. They counted as proven current, so open flows of routes that only the refused version has, at forwarders with another version of the program, would be reset.

Change: while a newer version is refused, the table proves nothing, as with single refused routes. Comments say what proofNeededAfter() and hasCurrentTarget() mean.

Test: ofRoutesProveNothingIfOneIsOdd also refuses a whole version; without the call it fails at the new line.

--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -22,7 +22,7 @@
   /// may have registered only recently; meanwhile the caller repeats its packet.
   duration UnknownTokenGracePeriod = std::chrono::milliseconds(1500);
   /// Maximum time for which a reset of a flow with an unresponsive target waits for proof that the
-  /// target's entry is current. It is exceeded only while the store doesn't answer.
+  /// target's entry is current. Then the flow is reset without proof: the store doesn't answer.
   duration MaxProofTime = std::chrono::milliseconds(1500);
 };
 
@@ -57,8 +57,8 @@
   /// this balancer, the entry is known.
   void setTargetsCurrentAt(instant At) { TargetsCurrentAt = At; }
 
-  /// Proof that the routes and targets are current at a later time than this would allow a decision
-  /// about a flow that is forwarded meanwhile; instant::min() if no flow ever waited for that.
+  /// Flows are forwarded for lack of proof that routes and targets are current. The proof must be
+  /// for a time after the returned one; instant::min() if no flow ever needed it.
   instant proofNeededAfter() const { return ProofNeededAfter; }
 
   std::size_t trackedFlows() const { return Flows.size(); }
@@ -73,8 +73,9 @@
   /// isn't tracked. \p Allowed tells whether the routes allow the packet.
   tracked_flow *trackOpenFlow(const caller_packet &Packet, target &Found, bool Allowed,
                               instant Now);
-  /// Returns whether the flow's target was registered here with its present entry, or a newer one,
-  /// when the flow was opened. \p Flow may be nullptr.
+  /// Returns whether the entry of the flow's target is at least as new as the one under which the
+  /// flow was opened, or that couldn't be proven in time. \p Flow may be nullptr: nothing is known
+  /// about a flow that isn't tracked.
   bool hasCurrentTarget(const tracked_flow *Flow, instant Now);
   void requestProof(instant After) { ProofNeededAfter = std::max(ProofNeededAfter, After); }
   target *chooseTarget(const caller_packet &Packet, const active_route &Route,
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -44,6 +44,9 @@
   /// of these flows has ended.
   void onVersionsMissed(instant Now) { HistoryCompleteAt = Now + PropagationTime + FlowLifetime; }
 
+  /// A newer version was refused, so nothing is known of its routes.
+  void onVersionRefused() { Complete = false; }
+
   /// The store had no version at \p At that this table hasn't seen.
   void setCurrentAt(instant At) { CurrentAt = At; }
   /// Returns whether the routes include all versions under which other balancers can have opened a
@@ -66,7 +69,7 @@
   /// Time from which every open flow was opened under a version that this table has seen.
   instant HistoryCompleteAt{};
   instant CurrentAt{};
-  /// No route of the version in force was refused.
+  /// No route of the version in force was refused, and no version since.
   bool Complete = true;
   std::uint64_t Version = 0;
   duration IdleTimeout = routing_configuration().IdleTimeout;
--- a/src/forwarder/route_listener.cpp
+++ b/src/forwarder/route_listener.cpp
@@ -28,6 +28,7 @@
                {"revision", std::to_string(Object.Revision)}});
   } catch (const findings_error &Error) {
     ++Counters.RefusedConfigurations;
+    Routes.onVersionRefused();
     Log.write(log_event::RoutesRefused, {{"finding", toString(Error.findings().front())},
                                          {"findings", std::to_string(Error.findings().size())},
                                          {"revision", std::to_string(Object.Revision)}});
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -138,6 +138,11 @@
   EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
   configure(R"({"version":2,"routes":[]})");
   EXPECT_TRUE(Routes.isCurrentAsOf(Earlier));
+  // The same holds for a version that is refused whole, until the next one.
+  configure(R"({"version":0,"routes":[]})");
+  EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
+  configure(R"({"version":4,"routes":[]})");
+  EXPECT_TRUE(Routes.isCurrentAsOf(Earlier));
 }
 
 } // namespace
