Log packets that are forwarded for lack of proof as an event of their own

Such a packet was logged as packet_repeated, which says that its caller sent it again, and shared that event's limit of lines. It is now route_unconfirmed.

--- a/src/forwarder/forwarder_log.cpp
+++ b/src/forwarder/forwarder_log.cpp
@@ -14,6 +14,8 @@
     return log_event::FlowPlaced;
   case forward_reason::PlacedAgain:
     return log_event::FlowPlacedAgain;
+  case forward_reason::RouteUnconfirmed:
+    return log_event::RouteUnconfirmed;
   default:
     return log_event::PacketRepeated;
   }
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -101,6 +101,9 @@
                          "caller retransmitted a packet of an open flow"},
     log_event_definition{log_event::PacketMalformed, "packet_malformed", Warning,
                          "datagram is not a valid packet of a caller"},
+    log_event_definition{log_event::RouteUnconfirmed, "route_unconfirmed", Info,
+                         "packet of an open flow was forwarded although the routes, which may be "
+                         "outdated, don't allow it"},
 };
 
 } // namespace
--- a/src/log/log_event.h
+++ b/src/log/log_event.h
@@ -59,6 +59,7 @@
   PacketDropped = 2204,
   PacketRepeated = 2205,
   PacketMalformed = 2206,
+  RouteUnconfirmed = 2207,
 };
 
 /// An entry of the catalogue of events.
