Check in the soak that flows on a removed route end

Since open flows are forwarded until the routes are proven current, a forwarder that never gets that proof would keep the flows of a removed route for good, and nothing noticed it: the parts are tested, but not that the daemon passes the watchers' times on.

The soak removes the route that was added last, 5 s into the period without faults, and expects that no caller has an open flow there 4.5 s later: the limit of a configuration, and a read of the revision between two packets. Resets of these flows are right.

--- a/soak/caller.h
+++ b/soak/caller.h
@@ -40,6 +40,9 @@
 public:
   caller(caller_environment &Environment, std::uint32_t Address, const ipv4_endpoint &Service);
 
+  const ipv4_endpoint &service() const { return Flow.Service; }
+  bool hasOpenFlow() const { return State == state::Open || State == state::Waiting; }
+
 private:
   enum class state : std::uint8_t { Idle, Opening, Open, Waiting };
 
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -55,6 +55,9 @@
 constexpr duration ProbeInterval = milliseconds(500);
 /// Time after which a configuration must be in force: configuration_time of the forwarders.
 constexpr duration ConfigurationTimeout = seconds(3);
+/// Time from then until open flows on a removed route have ended: until the next packet of each, a
+/// read of the store's revision that is requested then, and another packet.
+constexpr duration ProofTimeout = milliseconds(1500);
 
 } // namespace
 
@@ -157,6 +160,8 @@
   nlohmann::json Routes = nlohmann::json::array();
   ++ConfigurationVersion;
   for (const auto &[Address, Allowed] : HostEnvironment.Routes) {
+    if (Address == RemovedRoute)
+      continue;
     const std::string Service = Allowed.size() == 1 ? *Allowed.begin() : alternatingService();
     Routes.push_back({{"name", toString(Address)},
                       {"hostname", toString(toEndpoint(Address).Address)},
@@ -168,6 +173,10 @@
                     nlohmann::json{{"version", ConfigurationVersion}, {"routes", Routes}}.dump());
 }
 
+ipv4_endpoint scenario::addedRoute(std::size_t Index) const {
+  return address(8, AlternatingRoute + 1 + Index, 443);
+}
+
 void scenario::addRoute() {
   if (AddedRoutes >= MaxAddedRoutes) {
     writeRoutes();
@@ -179,7 +188,7 @@
     Store.setStaleReads(true);
     StaleListsEndAt = Now + StaleListPeriod;
   }
-  const ipv4_endpoint Address = address(8, AlternatingRoute + 1 + AddedRoutes, 443);
+  const ipv4_endpoint Address = addedRoute(AddedRoutes);
   HostEnvironment.Routes[Address] = {Services[AddedRoutes % 2]};
   writeRoutes();
   for (std::size_t I = 0; I < CallersPerAddedRoute; ++I)
@@ -211,6 +220,8 @@
 }
 
 void scenario::checkReset(const flow_address &Flow) {
+  if (Flow.Service == RemovedRoute)
+    return;
   // The host runs and holds the flow, so a reset is right only if the host didn't answer, which
   // happens only if this process stalls.
   const bool HostHasFlow = std::any_of(Slots.begin(), Slots.end(), [&](const host_slot &Slot) {
@@ -346,10 +357,20 @@
     Slot->DrainStartedAt = Clock.now();
     registerHost(*Slot);
   }
+  if (AddedRoutes > 0) {
+    RemovedRoute = addedRoute(AddedRoutes - 1);
+    RemovedRouteCheckAt = Clock.now() + ConfigurationTimeout + ProofTimeout;
+  }
   writeRoutes();
   FinalDrainStarted = true;
 }
 
+void scenario::checkRemovedRoute() {
+  for (const std::unique_ptr<caller> &Caller : RunningCallers)
+    if (Caller->service() == RemovedRoute && Caller->hasOpenFlow())
+      Violations.add("flows on a removed route end", toString(RemovedRoute));
+}
+
 void scenario::cutStoreConnections(random_source &RandomSource) {
   for (const forwarder_node &Node : Nodes)
     Node.Proxy->endConnections();
@@ -441,6 +462,11 @@
   }
   if (!FinalDrainStarted && Now >= FaultFreeAt + FinalDrainOffset)
     startFinalDrain();
+  if (Now >= RemovedRouteCheckAt) {
+    RemovedRouteCheckAt = Never;
+    if (Settings.CheckTiming && undisturbed())
+      checkRemovedRoute();
+  }
   if (Now >= Start + Settings.Length)
     Loop.stop();
 }
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -95,8 +95,12 @@
   /// Ends all connections to the store and kills the processes of some nodes without other faults.
   /// The next tick restarts them.
   void cutStoreConnections(random_source &RandomSource);
-  /// Drains one host of each service until the end of the run, without a replacement.
+  /// Drains one host of each service until the end of the run, without a replacement, and removes
+  /// the route that was added last.
   void startFinalDrain();
+  /// Adds a violation if a caller still has an open flow on the removed route.
+  void checkRemovedRoute();
+  ipv4_endpoint addedRoute(std::size_t Index) const;
   /// Whether the store or a node has a fault or a node's process isn't running.
   bool faultActive();
 
@@ -118,6 +122,10 @@
   std::vector<forwarder_node> Nodes;
   std::vector<std::unique_ptr<caller>> RunningCallers;
   std::size_t AddedRoutes = 0;
+  /// The route that startFinalDrain() removed; empty if there is none.
+  ipv4_endpoint RemovedRoute;
+  /// When its flows must have ended; Never if that was checked or no route was removed.
+  instant RemovedRouteCheckAt = Never;
   /// When stale lists are up to date again after addRoute(); Never if they are.
   instant StaleListsEndAt = Never;
   /// Sends the packets of openProbeFlows(); received packets are ignored.
