--- a/tests/forwarder/packet_socket_test.cpp
+++ b/tests/forwarder/packet_socket_test.cpp
@@ -81,6 +81,18 @@
   EXPECT_EQ(receivedByTarget(), 0);
 }
 
+// Guards against a reset of a flow that another balancer has opened on a new route meanwhile, by a
+// balancer that starts with an old list of routes (soak, seed 2939).
+TEST_F(packet_socket_without_routes, sendsNoResetForAPostponedPacketByRoutesThatMayBeOld) {
+  openFlow();
+  Clock.Now += std::chrono::milliseconds(900);
+  Routes.apply({1, {}, std::chrono::seconds(15)});
+  Socket.handlePostponed();
+  EXPECT_EQ(Counters.Decisions.at(static_cast<std::size_t>(forward_action::Reset))
+                .at(static_cast<std::size_t>(forward_reason::NoRoute)),
+            0U);
+}
+
 // Guards against unbounded memory while the routes are unknown, and against a batch of sent packets
 // that overflows when all are handled at once.
 TEST_F(packet_socket_without_routes, postponesALimitedNumberOfPackets) {
