--- a/review/8/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.."
 FOLDER=$(mktemp -d) || exit 2
 trap 'rm -rf "$FOLDER"' EXIT
-timeout -k 5 115 build/review-2/case-8 target/bin/briarpoint-forwarder review/8/record.txt "$FOLDER"
+timeout -k 5 115 build/review-2/case-6 target/bin/briarpoint-forwarder review/6/record.txt "$FOLDER"
 STATUS=$?
 [ "$STATUS" -le 1 ] || STATUS=2
 exit "$STATUS"
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.hpp
@@ -1,7 +1,7 @@
 // Stand-ins for the script cases of the second review: event loop, store, hosts, callers, router and the processes
 // under test. Everything runs in one thread on loopback addresses and the real clock.
-#ifndef REVIEW_LAB_2_LAB_H
-#define REVIEW_LAB_2_LAB_H
+#ifndef REVIEW_LAB_2_LAB_HPP
+#define REVIEW_LAB_2_LAB_HPP
 
 #include <nlohmann/json.hpp>
 
@@ -252,6 +252,9 @@
   bool has(const std::string &Kind, const std::string &Name) { return Kinds[Kind].contains(Name); }
   std::uint64_t revision() const { return Revision; }
 
+  /// Stale reads (`serializable`) are answered by one of two replicas at random; one of them is this old.
+  void setReplicaAge(double Seconds) { ReplicaAge = Seconds; }
+
   /// The store is down: open connections are reset, and new ones, too.
   void setDown(bool IsDown) {
     Down = IsDown;
@@ -272,6 +275,7 @@
     json Spec;
   };
   struct event {
+    double Time;
     std::uint64_t Revision;
     std::string Kind;
     json Content;
@@ -283,8 +287,17 @@
     std::string Kind;
     std::uint64_t After = 0;
     std::uint64_t Number = 0;
+    /// Age of the data that answer the call.
+    double Age = 0;
   };
 
+  std::uint64_t revisionAt(double Time) const {
+    std::uint64_t Result = FirstRevision;
+    for (const event &Event : Events)
+      if (Event.Time <= Time)
+        Result = Event.Revision;
+    return Result;
+  }
   static json toJson(const std::string &Name, const object &Object) {
     return {{"meta",
              {{"name", Name},
@@ -296,15 +309,26 @@
             {"status", nullptr}};
   }
   void record(const std::string &Kind, const std::string &Name, const object &Object, bool Deleted) {
-    Events.push_back({Revision, Kind, {{"object", toJson(Name, Object)}, {"deleted", Deleted}}});
+    Events.push_back({now(), Revision, Kind, {{"object", toJson(Name, Object)}, {"deleted", Deleted}}});
     if (Down)
       return;
-    std::vector<int> Waiting;
+    std::vector<std::pair<int, std::uint64_t>> Waiting;
     for (const auto &[Socket, Connection] : Connections)
       if (Connection.Watching && Connection.Kind == Kind)
-        Waiting.push_back(Socket);
-    for (const int Socket : Waiting)
+        Waiting.emplace_back(Socket, Connection.Number);
+    for (const auto &[Socket, Number] : Waiting)
+      finishWatchLater(Socket, Number, Connections[Socket].Age);
+  }
+  void finishWatchLater(int Socket, std::uint64_t Number, double Delay) {
+    if (Delay <= 0) {
       finishWatch(Socket);
+      return;
+    }
+    Loop.after(Delay + 0.001, [this, Socket, Number] {
+      const auto Found = Connections.find(Socket);
+      if (Found != Connections.end() && Found->second.Watching && Found->second.Number == Number)
+        finishWatch(Socket);
+    });
   }
   void acceptAll() {
     for (int Socket; (Socket = ::accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
@@ -369,12 +393,24 @@
       At = End + 1;
     }
     Connection.Kind = Path.substr(Prefix.size());
+    Connection.Age = Query.contains("serializable") && Random() % 2 == 0 ? ReplicaAge : 0;
     if (!Query.contains("watch")) {
+      std::map<std::string, json> Present;
+      const double Time = now() - Connection.Age;
+      for (const event &Event : Events) {
+        if (Event.Time > Time || Event.Kind != Connection.Kind)
+          continue;
+        const std::string Name = Event.Content["object"]["meta"]["name"];
+        if (Event.Content["deleted"])
+          Present.erase(Name);
+        else
+          Present[Name] = Event.Content["object"];
+      }
       json Items = json::array();
-      for (const auto &[Name, Object] : Kinds[Connection.Kind])
+      for (const auto &[Name, Object] : Present)
         if (Name > Query["after"])
-          Items.push_back(toJson(Name, Object));
-      answer(Socket, 200, {{"items", Items}, {"has_more", false}, {"current_rev", Revision}});
+          Items.push_back(Object);
+      answer(Socket, 200, {{"items", Items}, {"has_more", false}, {"current_rev", revisionAt(Time)}});
       return;
     }
     Connection.After = std::stoull(Query["watch"]);
@@ -382,24 +418,28 @@
     const std::uint64_t Number = Connection.Number = ++Watches;
     if (finishWatch(Socket))
       return;
+    for (const event &Event : Events)
+      if (Event.Kind == Connection.Kind && Event.Revision > Connection.After)
+        finishWatchLater(Socket, Number, Event.Time + Connection.Age - now());
     Loop.after(std::stod(Query["wait_ms"]) / 1000, [this, Socket, Number] {
       const auto Found = Connections.find(Socket);
       if (Found == Connections.end() || !Found->second.Watching || Found->second.Number != Number)
         return;
       Found->second.Watching = false;
-      answer(Socket, 200, {{"events", json::array()}, {"current_rev", Revision}});
+      answer(Socket, 200, {{"events", json::array()}, {"current_rev", revisionAt(now() - Found->second.Age)}});
     });
   }
   bool finishWatch(int Socket) {
     connection &Connection = Connections[Socket];
     json Found = json::array();
+    const double Time = now() - Connection.Age;
     for (const event &Event : Events)
-      if (Event.Revision > Connection.After && Event.Kind == Connection.Kind)
+      if (Event.Revision > Connection.After && Event.Kind == Connection.Kind && Event.Time <= Time)
         Found.push_back(Event.Content);
     if (Found.empty())
       return false;
     Connection.Watching = false;
-    answer(Socket, 200, {{"events", Found}, {"current_rev", Revision}});
+    answer(Socket, 200, {{"events", Found}, {"current_rev", revisionAt(Time)}});
     return true;
   }
   void answer(int Socket, int Status, const json &Body) {
@@ -424,8 +464,11 @@
   loop &Loop;
   int Listener;
   bool Down = false;
-  std::uint64_t Revision = 100;
+  static constexpr std::uint64_t FirstRevision = 100;
+  std::uint64_t Revision = FirstRevision;
   std::uint64_t Watches = 0;
+  double ReplicaAge = 0;
+  std::mt19937 Random{std::random_device{}()};
   std::map<std::string, std::map<std::string, object>> Kinds;
   std::vector<event> Events;
   std::map<int, connection> Connections;
@@ -658,6 +701,15 @@
     transmit(0);
   }
 
+  /// Ends the flow.
+  void finish() {
+    if (State == state::Open || State == state::Waiting)
+      sendPacket({Fin | Ack, Next, Expected, Echo, Caller, Service, "", true});
+    State = state::Ended;
+    ++Round;
+  }
+  const address &service() const { return Service; }
+
   void receive(const packet &P, const std::function<bool(const caller_flow &)> &HostLives) {
     if (State == state::Ended)
       return;
@@ -733,4 +785,4 @@
 
 } // namespace lab
 
-#endif // REVIEW_LAB_2_LAB_H
+#endif // REVIEW_LAB_2_LAB_HPP
