--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -268,6 +268,25 @@
   }
   bool down() const { return Down; }
 
+  /// The store comes back from a copy that is this old: what it has acknowledged since is gone, and its era rises.
+  void comeBackFromCopy(double Age) {
+    setDown(true);
+    const double Time = now() - Age;
+    std::erase_if(Events, [Time](const event &Event) { return Event.Time > Time; });
+    Kinds.clear();
+    for (const event &Event : Events) {
+      const json &Meta = Event.Content["object"]["meta"];
+      if (Event.Content["deleted"])
+        Kinds[Event.Kind].erase(Meta["name"].get<std::string>());
+      else
+        Kinds[Event.Kind][Meta["name"].get<std::string>()] = {Meta["created"], Meta["revision"],
+                                                             Event.Content["object"]["spec"]};
+    }
+    Revision = Events.empty() ? FirstRevision : Events.back().Revision;
+    ++Era;
+    Down = false;
+  }
+
 private:
   struct object {
     std::uint64_t Created = 0;
@@ -414,6 +433,10 @@
       return;
     }
     Connection.After = std::stoull(Query["watch"]);
+    if (Connection.After > Revision) {
+      answer(Socket, 410, json::object());
+      return;
+    }
     Connection.Watching = true;
     const std::uint64_t Number = Connection.Number = ++Watches;
     if (finishWatch(Socket))
@@ -445,7 +468,8 @@
   void answer(int Socket, int Status, const json &Body) {
     const std::vector<std::uint8_t> Bytes = json::to_msgpack(Body);
     Connections[Socket].Out += "HTTP/1.1 " + std::to_string(Status) +
-                               (Status == 200 ? " OK" : " Not Found") +
+                               (Status == 200 ? " OK" : Status == 410 ? " Gone" : " Not Found") +
+                               "\r\nStore-Era: " + std::to_string(Era) +
                                "\r\nContent-Type: application/msgpack\r\nContent-Length: " +
                                std::to_string(Bytes.size()) + "\r\n\r\n" + std::string(Bytes.begin(), Bytes.end());
     flush(Socket);
@@ -466,6 +490,7 @@
   bool Down = false;
   static constexpr std::uint64_t FirstRevision = 100;
   std::uint64_t Revision = FirstRevision;
+  std::uint64_t Era = 1;
   std::uint64_t Watches = 0;
   double ReplicaAge = 0;
   std::mt19937 Random{std::random_device{}()};
