--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -639,6 +640,8 @@
     Id = ::fork();
     if (Id != 0)
       return;
+    // The forwarder ends with the case, also if that is ended from outside.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int Output = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Output, 1);
     ::dup2(Output, 2);
