--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -6,9 +6,9 @@
 namespace {
 
 constexpr std::uint16_t PacketPort = 8172;
-constexpr std::uint32_t Forwarders = 8;
+constexpr std::uint32_t Forwarders = 12;
 constexpr std::uint32_t Seeds = 3;
-constexpr int Callers = 160;
+constexpr int Callers = 360;
 constexpr int Rounds = 8;
 /// Age of the older replica: "stale reads are x s (3) behind" (fleetbench kinds); the site file has up to 6.
 constexpr double ReplicaAge = 3;
