Log the end of each check beside a call to the store

Ruled out: a line for each proof. It follows from store_checked and the revision that was read last, and would come twice as often.

Change: event 2019, store_checked, with the position that was checked from, the outcome, the revision and the number of changes.

Test: watching_after_a_change.reportsTheEndOfEachCheck. No behaviour changes.

--- a/src/forwarder/store_call_log.cpp
+++ b/src/forwarder/store_call_log.cpp
@@ -24,6 +24,14 @@
 
 void store_call_log::onCallDropped(const store_call &Call) { logEnd(Call, "dropped", 0, 0); }
 
+void store_call_log::onCheckEnded(const store_position &CheckedFrom, const watch_answer &Answer) {
+  Log.write(log_event::StoreChecked, {{"kind", Kind},
+                                      {"checked_from", std::to_string(CheckedFrom.Revision)},
+                                      {"outcome", std::string(toString(Answer.Outcome))},
+                                      {"revision", std::to_string(Answer.Revision)},
+                                      {"changes", std::to_string(Answer.Changes.size())}});
+}
+
 void store_call_log::logEnd(const store_call &Call, std::string_view Outcome,
                             std::uint64_t Revision, std::size_t Objects) {
   Log.write(log_event::StoreAnswered, {{"kind", Kind},
--- a/src/forwarder/store_call_log.h
+++ b/src/forwarder/store_call_log.h
@@ -22,6 +22,7 @@
   void onCallEnded(const store_call &Call, call_outcome Outcome, std::uint64_t Revision,
                    std::size_t Objects) override;
   void onCallDropped(const store_call &Call) override;
+  void onCheckEnded(const store_position &CheckedFrom, const watch_answer &Answer) override;
 
 private:
   void logEnd(const store_call &Call, std::string_view Outcome, std::uint64_t Revision,
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -89,6 +89,8 @@
                          "the content of the store that came back counts"},
     log_event_definition{log_event::StoreEraUnreadable, "store_era_unreadable", Warning,
                          "the store's era can't be read; the highest one so far holds"},
+    log_event_definition{log_event::StoreChecked, "store_checked", Info,
+                         "a check beside a call to the store ended"},
     log_event_definition{
         log_event::RegistrationRefused, "registration_refused", Warning,
         "registration of a target was refused; the other registrations stay in use"},
--- a/src/log/log_event.h
+++ b/src/log/log_event.h
@@ -53,6 +53,7 @@
   StoreEraChanged = 2016,
   StoreRecoveryEnded = 2017,
   StoreEraUnreadable = 2018,
+  StoreChecked = 2019,
   RegistrationRefused = 2101,
   RegistrationChanged = 2102,
   TargetSuspected = 2103,
--- a/src/store/call_listener.h
+++ b/src/store/call_listener.h
@@ -18,6 +18,8 @@
                            std::size_t Objects) = 0;
   /// The watcher cancelled the call to send another one.
   virtual void onCallDropped(const store_call &Call) = 0;
+  /// A check of the changes after \p CheckedFrom ended while the checked call was in progress.
+  virtual void onCheckEnded(const store_position &CheckedFrom, const watch_answer &Answer) = 0;
 };
 
 } // namespace briarpoint
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -127,6 +127,7 @@
 void object_watcher::finishCheck(std::uint64_t Number, const watch_answer &Answer) {
   if (!isInProgress(Number))
     return;
+  CallListener.onCheckEnded(CheckedPosition, Answer);
   const era_observation Era = observeEra(Answer.Outcome, Answer.Era);
   if (Era == era_observation::Rose)
     return;
--- a/tests/forwarder/operations_page_test.cpp
+++ b/tests/forwarder/operations_page_test.cpp
@@ -35,6 +35,7 @@
   void onCallSent(const store_call &) override {}
   void onCallEnded(const store_call &, call_outcome, std::uint64_t, std::size_t) override {}
   void onCallDropped(const store_call &) override {}
+  void onCheckEnded(const store_position &, const watch_answer &) override {}
 };
 
 class idle_revision_reader final : public revision_reader {
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -47,6 +47,7 @@
   void onCallSent(const store_call &) override {}
   void onCallEnded(const store_call &, call_outcome, std::uint64_t, std::size_t) override {}
   void onCallDropped(const store_call &) override {}
+  void onCheckEnded(const store_position &, const watch_answer &) override {}
 };
 
 /// Makes every random delay as long as possible.
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -27,6 +27,14 @@
   EXPECT_EQ(Api.CheckedRevision, 11U);
 }
 
+// Guards against a log that doesn't show which changes a check saw before the watch reported them.
+TEST_F(watching_after_a_change, reportsTheEndOfEachCheck) {
+  Calls.Checks.clear();
+  Watcher.onRevisionRead(store_position{0, 12}, Scheduler.Now);
+  Api.Check({call_outcome::Done, std::vector<object_change>(1), 12});
+  EXPECT_EQ(Calls.Checks, std::vector<std::string>{"done from 11: 1 at 12"});
+}
+
 // Guards against waiting for the answer to a watch that the store never received (incident DRAIN).
 TEST_F(watching_after_a_change, isRestartedIfTheStoreDoesNotAnswerACheck) {
   Watcher.onRevisionRead(std::nullopt, Scheduler.Now);
--- a/tests/store/watcher_support.h
+++ b/tests/store/watcher_support.h
@@ -124,7 +124,14 @@
   void onCallDropped(const store_call &Call) override {
     Lines.push_back("dropped " + std::to_string(Call.Revision));
   }
+  void onCheckEnded(const store_position &CheckedFrom, const watch_answer &Answer) override {
+    Checks.push_back(std::string(toString(Answer.Outcome)) + " from " +
+                     std::to_string(CheckedFrom.Revision) + ": " +
+                     std::to_string(Answer.Changes.size()) + " at " +
+                     std::to_string(Answer.Revision));
+  }
   std::vector<std::string> Lines;
+  std::vector<std::string> Checks;
 };
 
 inline stored_object object(const std::string &Name) { return {Name, 1, 1, {}}; }
