Prove the view current only by checks without changes

Cause: finishCheck() raised the checked position to that of an answer with changes. The watch had not reported these. If a read of the store's revision ended within the 300 ms until the watch was restarted, upToDateAt() advanced, and packet_forwarder took the old routes for current.

Change: only an answer without changes raises the checked position.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -155,7 +155,8 @@
     scheduleList();
     return;
   }
-  if (Answered)
+  // Changes in the answer are not reported yet, so they are not behind the checked position.
+  if (Answered && Answer.Changes.empty())
     CheckedPosition = std::max(CheckedPosition, Answer.position());
   // The answer to the watch may be in transit, so the watch is not restarted at once.
   if (!Answered) {
--- a/tests/store/simulated_store.h
+++ b/tests/store/simulated_store.h
@@ -45,14 +45,16 @@
 
   /// Changes the object of a kind and answers the watches that wait for it.
   void write(const std::string &Kind);
-  /// Revision of the last change of a kind.
-  std::uint64_t lastChange(const std::string &Kind) const;
+  /// Revision of the last change of a kind before \p Before.
+  std::uint64_t lastChange(const std::string &Kind, instant Before = Never) const;
 
   /// While the store is silent, connections stay open, but calls that arrive are never answered.
   void setSilent(bool IsSilent) { Silent = IsSilent; }
   void setRefusing(bool IsRefusing) { Refusing = IsRefusing; }
   /// Age of the data of stale reads.
-  void setStaleLag(duration Lag) { StaleLag = Lag; }
+  void setStaleLag(duration Lag) { ReplicaLags = {Lag}; }
+  /// Stale reads go to replicas with data of these ages, in turn.
+  void setReplicaLags(std::vector<duration> Lags) { ReplicaLags = std::move(Lags); }
 
   /// The three phases in which the platform's store drops its history: watches report no changes;
   /// waiting watches are cut; the changes written before are gone. A watch that is sent between the
@@ -74,25 +76,30 @@
     std::uint64_t Revision = 0;
     instant At{};
   };
+  /// Number of a replica, or Leader.
+  using replica = std::size_t;
+  static constexpr replica Leader = ~replica{0};
+
   struct waiting_watch {
     simulated_connection *Connection = nullptr;
     std::uint64_t Call = 0;
     std::string Kind;
     std::uint64_t Revision = 0;
-    read_consistency Consistency = read_consistency::Linearizable;
+    replica Replica = Leader;
   };
 
-  /// Returns the changes that a call with \p Consistency sees.
+  /// Returns the replica that answers the next call with \p Consistency.
+  replica chooseReplica(read_consistency Consistency);
+  /// Returns the changes that a replica has.
   std::vector<object_change> changesAfter(const std::string &Kind, std::uint64_t Revision,
-                                          read_consistency Consistency) const;
-  /// Revision that a call with \p Consistency sees.
-  std::uint64_t revisionAs(read_consistency Consistency) const;
-  bool isVisible(const change &Change, read_consistency Consistency) const;
+                                          replica Replica) const;
+  std::uint64_t revisionOf(replica Replica) const;
+  bool isVisible(const change &Change, replica Replica) const;
   /// Answers the waiting watches that see a change of their kind.
   void answerWatches();
-  list_answer list(const std::string &Kind, read_consistency Consistency) const;
+  list_answer list(const std::string &Kind, read_consistency Consistency);
   /// Answers a stale watch that doesn't wait.
-  watch_answer check(const std::string &Kind, std::uint64_t After) const;
+  watch_answer check(const std::string &Kind, std::uint64_t After);
   /// Answers the watch at once if there are changes or no history; otherwise it waits.
   void receiveWatch(const waiting_watch &Watch);
   void answerWatch(const waiting_watch &Watch) const;
@@ -109,7 +116,9 @@
   bool ChangesWithheld = false;
   bool Silent = false;
   bool Refusing = false;
-  duration StaleLag{};
+  std::vector<duration> ReplicaLags{duration::zero()};
+  /// Number of stale calls so far.
+  std::size_t StaleCalls = 0;
 };
 
 /// A connection to the store over a path that may be cut or go silent.
--- a/tests/store/simulated_store_support.cpp
+++ b/tests/store/simulated_store_support.cpp
@@ -25,37 +25,42 @@
 void simulated_store::write(const std::string &Kind) {
   Changes.push_back({Kind, ++Revision, Clock.now()});
   answerWatches();
-  if (StaleLag > duration::zero())
-    Clock.after(StaleLag, [this] { answerWatches(); });
+  for (const duration Lag : ReplicaLags)
+    if (Lag > duration::zero())
+      Clock.after(Lag, [this] { answerWatches(); });
 }
 
 void simulated_store::answerWatches() {
   if (ChangesWithheld)
     return;
   std::erase_if(Watches, [&](const waiting_watch &Watch) {
-    if (changesAfter(Watch.Kind, Watch.Revision, Watch.Consistency).empty())
+    if (changesAfter(Watch.Kind, Watch.Revision, Watch.Replica).empty())
       return false;
     answerWatch(Watch);
     return true;
   });
 }
 
-bool simulated_store::isVisible(const change &Change, read_consistency Consistency) const {
-  return Consistency == read_consistency::Linearizable || Change.At + StaleLag <= Clock.now();
+simulated_store::replica simulated_store::chooseReplica(read_consistency Consistency) {
+  return Consistency == read_consistency::Linearizable ? Leader : StaleCalls++;
 }
 
-std::uint64_t simulated_store::revisionAs(read_consistency Consistency) const {
+bool simulated_store::isVisible(const change &Change, replica Replica) const {
+  return Replica == Leader || Change.At + ReplicaLags[Replica % ReplicaLags.size()] <= Clock.now();
+}
+
+std::uint64_t simulated_store::revisionOf(replica Replica) const {
   std::uint64_t Result = 1;
   for (const change &Change : Changes)
-    if (isVisible(Change, Consistency))
+    if (isVisible(Change, Replica))
       Result = Change.Revision;
   return Result;
 }
 
-std::uint64_t simulated_store::lastChange(const std::string &Kind) const {
+std::uint64_t simulated_store::lastChange(const std::string &Kind, instant Before) const {
   std::uint64_t Last = 0;
   for (const change &Change : Changes)
-    if (Change.Kind == Kind)
+    if (Change.Kind == Kind && Change.At < Before)
       Last = Change.Revision;
   return Last;
 }
@@ -83,43 +88,44 @@
   HistoryBegin = Revision;
 }
 
-std::vector<object_change> simulated_store::changesAfter(const std::string &Kind,
-                                                         std::uint64_t After,
-                                                         read_consistency Consistency) const {
+std::vector<object_change>
+simulated_store::changesAfter(const std::string &Kind, std::uint64_t After, replica Replica) const {
   std::vector<object_change> Result;
   for (const change &Change : Changes)
-    if (Change.Kind == Kind && Change.Revision > After && isVisible(Change, Consistency))
+    if (Change.Kind == Kind && Change.Revision > After && isVisible(Change, Replica))
       Result.push_back({{"x", 1, Change.Revision, {}}, false});
   return Result;
 }
 
-list_answer simulated_store::list(const std::string &Kind, read_consistency Consistency) const {
+list_answer simulated_store::list(const std::string &Kind, read_consistency Consistency) {
+  const replica Replica = chooseReplica(Consistency);
   list_answer Result;
   Result.Outcome = call_outcome::Done;
-  Result.Revision = revisionAs(Consistency);
+  Result.Revision = revisionOf(Replica);
   Result.Era = Era;
   for (const change &Change : Changes)
-    if (Change.Kind == Kind && isVisible(Change, Consistency))
+    if (Change.Kind == Kind && isVisible(Change, Replica))
       Result.Objects = {{"x", 1, Change.Revision, {}}};
   return Result;
 }
 
-watch_answer simulated_store::check(const std::string &Kind, std::uint64_t After) const {
+watch_answer simulated_store::check(const std::string &Kind, std::uint64_t After) {
   if (Refusing)
     return {call_outcome::Refused, {}, 0};
   if (After < HistoryBegin || After > Revision)
     return {call_outcome::HistoryGone, {}, 0, Era};
   // While changes are withheld, the answer has the revision of the last one all the same.
-  watch_answer Result{call_outcome::Done, {}, revisionAs(read_consistency::Stale), Era};
+  const replica Replica = chooseReplica(read_consistency::Stale);
+  watch_answer Result{call_outcome::Done, {}, revisionOf(Replica), Era};
   if (!ChangesWithheld)
-    Result.Changes = changesAfter(Kind, After, read_consistency::Stale);
+    Result.Changes = changesAfter(Kind, After, Replica);
   return Result;
 }
 
 void simulated_store::receiveWatch(const waiting_watch &Watch) {
   const bool Gone = Watch.Revision < HistoryBegin || Watch.Revision > Revision;
   if (Gone ||
-      (!ChangesWithheld && !changesAfter(Watch.Kind, Watch.Revision, Watch.Consistency).empty()))
+      (!ChangesWithheld && !changesAfter(Watch.Kind, Watch.Revision, Watch.Replica).empty()))
     answerWatch(Watch);
   else
     Watches.push_back(Watch);
@@ -129,19 +135,17 @@
   if (Watch.Revision < HistoryBegin || Watch.Revision > Revision)
     Watch.Connection->deliverWatch(Watch.Call, {call_outcome::HistoryGone, {}, 0, Era});
   else
-    Watch.Connection->deliverWatch(Watch.Call,
-                                   {call_outcome::Done,
-                                    changesAfter(Watch.Kind, Watch.Revision, Watch.Consistency),
-                                    revisionAs(Watch.Consistency), Era});
+    Watch.Connection->deliverWatch(
+        Watch.Call, {call_outcome::Done, changesAfter(Watch.Kind, Watch.Revision, Watch.Replica),
+                     revisionOf(Watch.Replica), Era});
 }
 
 void simulated_store::endWait(const simulated_connection &Connection, std::uint64_t Call) {
   std::erase_if(Watches, [&](const waiting_watch &Watch) {
     if (Watch.Connection != &Connection || Watch.Call != Call)
       return false;
-    const std::uint64_t ReportedRevision = ChangesWithheld
-                                               ? std::max(WithheldAtRevision, Watch.Revision)
-                                               : revisionAs(Watch.Consistency);
+    const std::uint64_t ReportedRevision =
+        ChangesWithheld ? std::max(WithheldAtRevision, Watch.Revision) : revisionOf(Watch.Replica);
     Watch.Connection->deliverWatch(Call, {call_outcome::Done, {}, ReportedRevision, Era});
     return true;
   });
@@ -227,7 +231,7 @@
       CallTimeout + Wait,
       [this, Kind, Revision, Wait, Consistency] {
         const std::uint64_t Call = Current;
-        Store.receiveWatch({this, Call, Kind, Revision, Consistency});
+        Store.receiveWatch({this, Call, Kind, Revision, Store.chooseReplica(Consistency)});
         Clock.after(Wait, [this, Call] { Store.endWait(*this, Call); });
       },
       [Done] { Done({}); });
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -1,4 +1,4 @@
-#include "base/random_source.h"
+#include "base/seeded_random.h"
 #include "forwarder/watch_settings.h"
 #include "simulated_store.h"
 #include "store/object_watcher.h"
@@ -155,6 +155,23 @@
             Process->Evacuations->View.LastRevision == Store->lastChange("evacuations"));
   }
 
+  /// Returns whether everything was reported that the store had at the time as of which the view of
+  /// a kind is proven complete.
+  bool isProofTrue(const std::string &Kind, const watching_process::watch &Watch) const {
+    return Store->lastChange(Kind, Watch.Watcher.upToDateAt()) <= Watch.View.LastRevision;
+  }
+  bool areProofsTrue() const {
+    return isProofTrue("servers", Process->Targets) && isProofTrue("config", Process->Routes) &&
+           (!Process->Evacuations || isProofTrue("evacuations", *Process->Evacuations));
+  }
+  /// Advances in small steps, and expects that each proof is true.
+  void advanceAndCheckProofs(duration Time) {
+    for (const instant End = Clock->now() + Time; Clock->now() < End;) {
+      advance(milliseconds(10));
+      ASSERT_TRUE(areProofsTrue()) << Clock->now().time_since_epoch().count();
+    }
+  }
+
   const duration ChangeTime = GetParam().ChangeTime;
   const duration ContactTime = GetParam().ContactTime;
   forwarder_settings Settings;
@@ -357,6 +374,84 @@
   }
 }
 
+class proof_of_a_view : public view_of_changes {
+protected:
+  /// Changes some kinds at random times, and requests the store's revision as a packet of a flow
+  /// does that needs a proof.
+  void changeAtRandom(std::uint64_t Seed) {
+    seeded_random Times(Seed);
+    for (int I = 0; I < 12; ++I) {
+      for (const char *Kind : {"servers", "config", "evacuations"})
+        if (Times.below(2) == 0)
+          Store->write(Kind);
+      ASSERT_NO_FATAL_FAILURE(advanceAndCheckProofs(milliseconds(10 * Times.below(60))));
+      Process->Group.readRevision();
+      ASSERT_NO_FATAL_FAILURE(advanceAndCheckProofs(milliseconds(10 * Times.below(60))));
+    }
+  }
+};
+
+// Guards against resets of open flows by a false proof that the routes or targets are current: a
+// check had shown a change that the watch hadn't reported (review, case 6).
+TEST_P(proof_of_a_view, isTrueIfReplicasAreOfDifferentAge) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE(Seed);
+    reset();
+    Store->setReplicaLags({duration::zero(), milliseconds(50 * Seed), milliseconds(3000)});
+    ASSERT_NO_FATAL_FAILURE(changeAtRandom(Seed));
+  }
+}
+
+// Guards against the same of a process that has just started from stale lists.
+TEST_P(proof_of_a_view, isTrueAfterAStart) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE(Seed);
+    reset();
+    Store->setReplicaLags({milliseconds(1500), duration::zero(), milliseconds(50 * Seed)});
+    changeAll();
+    advance(milliseconds(20 * Seed));
+    start();
+    ASSERT_NO_FATAL_FAILURE(changeAtRandom(Seed));
+  }
+}
+
+// Guards against the same after watches were cut and the store has dropped its history.
+TEST_P(proof_of_a_view, isTrueAfterALossOfHistory) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE(Seed);
+    reset();
+    Store->setReplicaLags({duration::zero(), milliseconds(50 * Seed)});
+    Clock->after(milliseconds(50 * Seed), [this] { Store->cutWatches(); });
+    Clock->after(milliseconds(50 * Seed + 60), [this] { Store->dropHistory(); });
+    ASSERT_NO_FATAL_FAILURE(changeAtRandom(Seed));
+  }
+}
+
+// Guards against the same after connections went silent and answers were lost.
+TEST_P(proof_of_a_view, isTrueAfterFailedConnections) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE(Seed);
+    reset();
+    Store->setReplicaLags({duration::zero(), milliseconds(50 * Seed)});
+    Clock->after(milliseconds(50 * Seed), [this] { Process->Routes.Connection.silence(); });
+    Clock->after(milliseconds(30 * Seed), [this] { Process->Targets.Connection.setCut(true); });
+    Clock->after(milliseconds(60 * Seed), [this] { Process->Targets.Connection.setCut(false); });
+    ASSERT_NO_FATAL_FAILURE(changeAtRandom(Seed));
+  }
+}
+
+// Guards against the same across a return of the store from an older copy.
+TEST_P(proof_of_a_view, isTrueAfterAReturn) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE(Seed);
+    reset();
+    Store->setReplicaLags({duration::zero(), milliseconds(50 * Seed)});
+    const instant CopiedAt = Clock->now();
+    Clock->after(milliseconds(50 * Seed), [this, CopiedAt] { Store->comeBackFromCopy(CopiedAt); });
+    ASSERT_NO_FATAL_FAILURE(changeAtRandom(Seed));
+  }
+}
+
 class view_after_refusals : public view_of_changes {};
 
 // Guards against a retry delay after refused calls that exceeds the contact time.
@@ -450,6 +545,7 @@
 INSTANTIATE_TEST_SUITE_P(platform, view_after_a_cut, testing::ValuesIn(Platforms), nameOf);
 INSTANTIATE_TEST_SUITE_P(platform, view_after_lost_answers, testing::ValuesIn(Platforms), nameOf);
 INSTANTIATE_TEST_SUITE_P(platform, view_from_stale_reads, testing::ValuesIn(Platforms), nameOf);
+INSTANTIATE_TEST_SUITE_P(platform, proof_of_a_view, testing::ValuesIn(Platforms), nameOf);
 INSTANTIATE_TEST_SUITE_P(platform, view_after_a_return, testing::ValuesIn(Platforms), nameOf);
 INSTANTIATE_TEST_SUITE_P(platform, view_after_refusals, testing::ValuesIn(Platforms), nameOf);
 
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -169,6 +169,33 @@
   EXPECT_TRUE(Api.Calls.empty());
 }
 
+// Guards against a reset by a false proof: a check shows changes that the watch hasn't reported,
+// and a read of the revision ends before the watch is restarted (review, case 6).
+TEST_F(watching_after_a_change, isNotCurrentByACheckThatShowsChanges) {
+  const instant RequestedAt = Scheduler.Now;
+  Watcher.onRevisionRead(store_position{0, 13}, RequestedAt);
+  Api.Check({call_outcome::Done, std::vector<object_change>(1), 13});
+  Watcher.onRevisionRead(store_position{0, 13}, RequestedAt + milliseconds(100));
+  EXPECT_LT(Watcher.upToDateAt(), RequestedAt);
+  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeTimeout);
+  EXPECT_EQ(Api.Calls.front().Revision, 11U);
+  answerWatch(1, 13);
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt + milliseconds(100));
+}
+
+// Guards against the same after a second check, which a replica answers that lacks the changes.
+TEST_F(watching_after_a_change, isNotCurrentByALaterCheckWithoutTheChanges) {
+  const instant RequestedAt = Scheduler.Now;
+  Watcher.onRevisionRead(store_position{0, 13}, RequestedAt);
+  Api.Check({call_outcome::Done, std::vector<object_change>(1), 13});
+  Scheduler.runNext();
+  Scheduler.runNext();
+  EXPECT_EQ(Api.CheckedRevision, 11U);
+  Api.Check({call_outcome::Done, {}, 12});
+  EXPECT_LT(Watcher.upToDateAt(), RequestedAt);
+  EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
+}
+
 // Guards against a view that never counts as current again after one wrong read of the revision.
 TEST_F(watching_after_a_change, isCurrentAgainAfterAWrongRevision) {
   Watcher.onRevisionRead(store_position{0, ~std::uint64_t{0}}, Scheduler.Now);
