Take no proof from an answer that may end before the last change

Cause: a linearizable watch with changes counted as complete as of its request.

Change: only a read of the store's revision that the watch has reached is a proof. A refresh, after which a packet with an unknown token waits for one, requests the read at once; others come at the interval.

Two tests expected the proof that is wrong: watching_after_a_change.isUpToDateOnlyAfterALinearizableAnswer is replaced by isUpToDateOnlyAfterTheRevisionThatItHasReached, which expects the old proof neither for a stale nor for a linearizable answer and the true one after both; restartsTheWatchOnANewConnectionWhenRefreshed expects the read and its proof.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -275,10 +275,12 @@
   AwaitsRevision = !PositionConfirmed;
   Phase = phase::Watch;
   Listener.onList(Objects, Position);
-  if (PositionConfirmed)
-    finishRefresh(ListBeganAt);
-  else if (StorePosition.Revision != 0 && Position >= StorePosition)
+  if (PositionConfirmed) {
+    markUpToDate(ListBeganAt);
+    RefreshPending = false;
+  } else if (StorePosition.Revision != 0 && Position >= StorePosition) {
     markUpToDate(RevisionRequestedAt);
+  }
   scheduleCall(duration::zero());
 }
 
@@ -311,10 +313,12 @@
   handleSuccess();
   if (!Answer.Changes.empty()) {
     Listener.onChanges(Answer.Changes, Position);
-    if (SentConsistency == read_consistency::Linearizable)
-      finishRefresh(Call.SentAt);
+    // The answer may end before the last change, so only the store's revision proves that nothing
+    // is missing.
     if (StorePosition.Revision != 0 && Position >= StorePosition)
       markUpToDate(RevisionRequestedAt);
+    if (std::exchange(RefreshPending, false))
+      Group.readRevision();
     Batching = true;
     scheduleCall(Position < StorePosition ? duration::zero() : Settings.BatchingDelay);
   } else if (RefreshPending) {
@@ -337,11 +341,6 @@
   return *nextRetry(Backoff, Retry, Now, Never, Random) - Now;
 }
 
-void object_watcher::finishRefresh(instant SentAt) {
-  markUpToDate(SentAt);
-  RefreshPending = false;
-}
-
 void object_watcher::handleFailure(call_outcome Outcome) {
   ++Counters.Outcomes[static_cast<std::size_t>(Outcome)];
   PositionConfirmed = false;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -141,8 +141,6 @@
   }
   /// Passes on the era of an answer.
   era_observation observeEra(call_outcome Outcome, std::uint64_t Era);
-  /// A linearizable call that was sent at \p SentAt reported the changes of a refresh, too.
-  void finishRefresh(instant SentAt);
   duration retryDelay(const backoff_settings &Backoff, std::uint32_t Retry);
   void handleFailure(call_outcome Outcome);
   void handleSuccess();
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -89,10 +89,11 @@
   Scheduler.Now += seconds(2);
   Watcher.refresh();
   EXPECT_EQ(Api.Cancelled, 2);
-  const instant SentAt = Scheduler.Now;
-  Scheduler.Now += milliseconds(50);
+  GroupScheduler.Now = Scheduler.Now;
   answerWatch(1, 11);
-  EXPECT_EQ(Watcher.upToDateAt(), SentAt);
+  ASSERT_EQ(Revisions.Reads.size(), 1U);
+  Revisions.answer(11);
+  EXPECT_EQ(Watcher.upToDateAt(), GroupScheduler.Now);
 }
 
 // Guards against treating an empty answer as proof that no change was missed. While the store drops
--- a/tests/store/simulated_store.h
+++ b/tests/store/simulated_store.h
@@ -53,6 +53,9 @@
   void setRefusing(bool IsRefusing) { Refusing = IsRefusing; }
   /// Age of the data of stale reads.
   void setStaleLag(duration Lag) { ReplicaLags = {Lag}; }
+  /// Maximum number of changes in an answer to a watch. A longer answer ends after that many, with
+  /// the revision of the last one.
+  void setMaxChanges(std::size_t Count) { MaxChanges = Count; }
   /// Stale reads go to replicas with data of these ages, in turn.
   void setReplicaLags(std::vector<duration> Lags) { ReplicaLags = std::move(Lags); }
 
@@ -93,6 +96,8 @@
   /// Returns the changes that a replica has.
   std::vector<object_change> changesAfter(const std::string &Kind, std::uint64_t Revision,
                                           replica Replica) const;
+  /// Returns the answer of a replica with these changes.
+  watch_answer answerWith(std::vector<object_change> Found, replica Replica) const;
   std::uint64_t revisionOf(replica Replica) const;
   bool isVisible(const change &Change, replica Replica) const;
   /// Answers the waiting watches that see a change of their kind.
@@ -117,6 +122,7 @@
   bool Silent = false;
   bool Refusing = false;
   std::vector<duration> ReplicaLags{duration::zero()};
+  std::size_t MaxChanges = ~std::size_t{0};
   /// Number of stale calls so far.
   std::size_t StaleCalls = 0;
 };
--- a/tests/store/simulated_store_support.cpp
+++ b/tests/store/simulated_store_support.cpp
@@ -97,6 +97,14 @@
   return Result;
 }
 
+watch_answer simulated_store::answerWith(std::vector<object_change> Found, replica Replica) const {
+  if (Found.size() <= MaxChanges)
+    return {call_outcome::Done, std::move(Found), revisionOf(Replica), Era};
+  Found.resize(MaxChanges);
+  const std::uint64_t LastRevision = Found.back().Object.Revision;
+  return {call_outcome::Done, std::move(Found), LastRevision, Era};
+}
+
 list_answer simulated_store::list(const std::string &Kind, read_consistency Consistency) {
   const replica Replica = chooseReplica(Consistency);
   list_answer Result;
@@ -116,10 +124,9 @@
     return {call_outcome::HistoryGone, {}, 0, Era};
   // While changes are withheld, the answer has the revision of the last one all the same.
   const replica Replica = chooseReplica(read_consistency::Stale);
-  watch_answer Result{call_outcome::Done, {}, revisionOf(Replica), Era};
-  if (!ChangesWithheld)
-    Result.Changes = changesAfter(Kind, After, Replica);
-  return Result;
+  if (ChangesWithheld)
+    return answerWith({}, Replica);
+  return answerWith(changesAfter(Kind, After, Replica), Replica);
 }
 
 void simulated_store::receiveWatch(const waiting_watch &Watch) {
@@ -136,8 +143,8 @@
     Watch.Connection->deliverWatch(Watch.Call, {call_outcome::HistoryGone, {}, 0, Era});
   else
     Watch.Connection->deliverWatch(
-        Watch.Call, {call_outcome::Done, changesAfter(Watch.Kind, Watch.Revision, Watch.Replica),
-                     revisionOf(Watch.Replica), Era});
+        Watch.Call,
+        answerWith(changesAfter(Watch.Kind, Watch.Revision, Watch.Replica), Watch.Replica));
 }
 
 void simulated_store::endWait(const simulated_connection &Connection, std::uint64_t Call) {
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -402,6 +402,23 @@
   }
 }
 
+// Guards against the same after a linearizable watch whose answer has only the first changes.
+TEST_P(proof_of_a_view, isTrueIfAnswersEndEarly) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE(Seed);
+    reset();
+    Store->setMaxChanges(2);
+    Store->setReplicaLags({duration::zero(), milliseconds(50 * Seed)});
+    for (int I = 0; I < 6; ++I)
+      Clock->after(milliseconds(10 * Seed * I), [this] {
+        for (int Change = 0; Change < 3; ++Change)
+          changeAll();
+        Process->Targets.Watcher.refresh();
+      });
+    ASSERT_NO_FATAL_FAILURE(changeAtRandom(Seed));
+  }
+}
+
 // Guards against the same of a process that has just started from stale lists.
 TEST_P(proof_of_a_view, isTrueAfterAStart) {
   for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -106,17 +106,25 @@
   EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Stale);
 }
 
-// Guards against a change from a stale read that is taken as proof that nothing was missed.
-TEST_F(watching_after_a_change, isUpToDateOnlyAfterALinearizableAnswer) {
+// Guards against a change from a stale read, or from a linearizable one whose answer may end before
+// the last change, that is taken as proof that nothing was missed.
+TEST_F(watching_after_a_change, isUpToDateOnlyAfterTheRevisionThatItHasReached) {
   const instant Before = Watcher.upToDateAt();
   answerWatch(1, 12);
   EXPECT_EQ(Watcher.upToDateAt(), Before);
   Scheduler.runNext();
   Watcher.refresh();
-  const instant SentAt = Scheduler.Now;
   Scheduler.Now += milliseconds(50);
   answerWatch(1, 13);
-  EXPECT_EQ(Watcher.upToDateAt(), SentAt);
+  EXPECT_EQ(Watcher.upToDateAt(), Before);
+  // The refresh requests the proof.
+  ASSERT_EQ(Revisions.Reads.size(), 1U);
+  const instant RequestedAt = Group.revisionRequestedAt();
+  Revisions.answer(14);
+  EXPECT_EQ(Watcher.upToDateAt(), Before);
+  Scheduler.runNext();
+  answerWatch(1, 14);
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt);
 }
 
 // Guards against a view that counts as current later than the read of the revision that it has
--- a/tests/store/watcher_support.h
+++ b/tests/store/watcher_support.h
@@ -125,10 +125,9 @@
     Lines.push_back("dropped " + std::to_string(Call.Revision));
   }
   void onCheckEnded(const store_position &CheckedFrom, const watch_answer &Answer) override {
-    Checks.push_back(std::string(toString(Answer.Outcome)) + " from " +
-                     std::to_string(CheckedFrom.Revision) + ": " +
-                     std::to_string(Answer.Changes.size()) + " at " +
-                     std::to_string(Answer.Revision));
+    Checks.push_back(
+        std::string(toString(Answer.Outcome)) + " from " + std::to_string(CheckedFrom.Revision) +
+        ": " + std::to_string(Answer.Changes.size()) + " at " + std::to_string(Answer.Revision));
   }
   std::vector<std::string> Lines;
   std::vector<std::string> Checks;
