Take a list for linearizable only if all of its pages are

Cause: an answer of an outdated era switches a list to linearizable pages, and keeps the pages that were read before. The finished list was judged by the consistency of its last page.

Change: one stale page makes the list a stale one, whose position is confirmed by the store's revision and a check.

Test: watching_objects.isNotCurrentByAListWithAStalePage failed before.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -75,8 +75,11 @@
                                                        : store_call_type::List,
             0, duration::zero());
   ++(ListConsistency == read_consistency::Stale ? Counters.StaleLists : Counters.Lists);
-  if (ListedObjects.empty())
+  if (ListedObjects.empty()) {
     ListBeganAt = Call.SentAt;
+    HasStalePage = false;
+  }
+  HasStalePage = HasStalePage || ListConsistency == read_consistency::Stale;
   Api.list(Kind, lastName(ListedObjects), ListConsistency,
            [this](list_answer Answer) { finishList(std::move(Answer)); });
   if (Position.Revision != 0) {
@@ -271,7 +274,7 @@
     return;
   }
   Position = OldestPage;
-  PositionConfirmed = ListConsistency == read_consistency::Linearizable;
+  PositionConfirmed = !HasStalePage;
   AwaitsRevision = !PositionConfirmed;
   Phase = phase::Watch;
   Listener.onList(Objects, Position);
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -165,6 +165,8 @@
   store_position OldestPage;
   /// When the call for the first of these pages was sent.
   instant ListBeganAt{};
+  /// One of these pages is a stale read.
+  bool HasStalePage = false;
   /// The position up to which everything was reported.
   store_position Position;
   std::uint32_t ConsecutiveFailures = 0;
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -127,6 +127,26 @@
   EXPECT_EQ(Watcher.upToDateAt(), SentAt);
 }
 
+// Guards against a proof by a list of which one page was a stale read: the next page came from
+// before a return of the store, so the rest was read linearizably.
+TEST_F(watching_objects, isNotCurrentByAListWithAStalePage) {
+  Era.observe(1);
+  answerList({object("a")}, 10, true, 1);
+  EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Stale);
+  answerList({object("b")}, 20, false, 0);
+  Scheduler.runNext();
+  EXPECT_EQ(Api.Calls.front().After, "a");
+  EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
+  answerList({object("b")}, 12, false, 1);
+  EXPECT_EQ(Watcher.upToDateAt(), instant{});
+  // The position after the list is confirmed like that of any stale one.
+  Scheduler.runNext();
+  ASSERT_EQ(Revisions.Reads.size(), 1U);
+  Revisions.answer(12, 1);
+  Scheduler.runNext();
+  EXPECT_EQ(Api.CheckedRevision, 10U);
+}
+
 // Guards against a delay between two watches, and against a watch from an outdated revision.
 TEST_F(watching_listed_objects, watchesAgainAtOnceIfNothingChanged) {
   answerWatch(0, 17);
