Keep an unconfirmed position after an empty answer to its watch

Cause: a long watch waits for the confirmation of its position. If it was answered without changes before that, finishWatch() raised the position to that of the answer and confirmed it.

Change: only a confirmed position is raised. Otherwise a short linearizable watch from the same position follows, as after a failure.

Test: watching_objects.keepsThePositionAfterAnEmptyAnswerUntilItIsConfirmed failed before.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -308,11 +308,16 @@
     return;
   }
   ListsSinceLastWatch = 0;
-  // A short watch without changes may have missed some, so the next watch starts at the same
-  // revision.
-  if (isPositionUsable() || !Answer.Changes.empty())
+  // A watch without changes may have missed some unless its position is confirmed, so the next
+  // watch starts at the same revision.
+  if (PositionConfirmed || !Answer.Changes.empty())
     Position = std::max(Position, Answer.position());
-  confirmPosition();
+  // An empty answer to a long watch doesn't show whether the store has the history after the
+  // position. A short watch follows.
+  if (AwaitsRevision && Answer.Changes.empty())
+    AwaitsRevision = false;
+  else
+    confirmPosition();
   handleSuccess();
   if (!Answer.Changes.empty()) {
     Listener.onChanges(Answer.Changes, Position);
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -147,6 +147,20 @@
   EXPECT_EQ(Api.CheckedRevision, 10U);
 }
 
+// Guards against a position, and a proof, by an empty answer to a watch whose position isn't
+// confirmed: the store may have dropped the changes after it.
+TEST_F(watching_objects, keepsThePositionAfterAnEmptyAnswerUntilItIsConfirmed) {
+  answerList({object("a")}, 10);
+  Scheduler.runNext();
+  answerWatch(0, 12);
+  EXPECT_EQ(Watcher.revision(), 10U);
+  Revisions.answer(12);
+  EXPECT_EQ(Watcher.upToDateAt(), instant{});
+  Scheduler.runNext();
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
+}
+
 // Guards against a delay between two watches, and against a watch from an outdated revision.
 TEST_F(watching_listed_objects, watchesAgainAtOnceIfNothingChanged) {
   answerWatch(0, 17);
