Take no proof from a check while the restart of its watch is due

Cause: when the store cuts the watches of other kinds, a watch is restarted 300 ms later, because the store drops its history up to 60 ms after the cut. A check that was answered meanwhile confirmed the position and proved the view current all the same. One that failed after an earlier one had been answered replaced the restart by a further check, since a watcher has one timer.

Change: until the restart, checks count only if they show that the history is gone or, without any answer before, that the store doesn't answer.

Test: watching_listed_objects.isNotProvenByAChecksAnswerBeforeTheRestart failed before.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -46,6 +46,7 @@
   AwaitsRevision = true;
   if (!CallInProgress)
     return;
+  RestartScheduled = true;
   // The store cuts this watch, too, unless it was sent just after the others were cut.
   Scheduler.runAt(Scheduler.now() + Settings.ProbeTimeout, [this, Number = CallNumber] {
     if (isInProgress(Number))
@@ -63,6 +64,7 @@
   const instant Now = Scheduler.now();
   CallInProgress = true;
   Batching = false;
+  RestartScheduled = false;
   CheckAnswered = false;
   CheckedPosition = Position;
   ++CallNumber;
@@ -158,6 +160,8 @@
     scheduleList();
     return;
   }
+  if (RestartScheduled)
+    return;
   // Changes in the answer are not reported yet, so they are not behind the checked position.
   if (Answered && Answer.Changes.empty())
     CheckedPosition = std::max(CheckedPosition, Answer.position());
@@ -202,7 +206,7 @@
     return;
   }
   // The next watch begins with a check if it is behind. A list or a short watch is linearizable.
-  if (!CallInProgress || Phase != phase::Watch || !isPositionUsable())
+  if (!CallInProgress || Phase != phase::Watch || !isPositionUsable() || RestartScheduled)
     return;
   if (!Read && AwaitsRevision)
     leaveStaleWatch();
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -189,6 +189,9 @@
   instant RevisionRequestedAt{};
   /// The call in progress, or the last one.
   store_call Call;
+  /// The watch in progress is restarted after ProbeTimeout. Until then, the answer to a check
+  /// proves nothing: it may come from the time before the store drops its history.
+  bool RestartScheduled = false;
   /// The store answered a check after Call was sent.
   bool CheckAnswered = false;
   /// Position up to which checks found no change. It advances with each check, so that the store
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -229,6 +229,23 @@
   EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
 }
 
+// Guards against a proof by a check that was answered after the store had cut the watches and
+// before it dropped its history: changes may be missing in the answer.
+TEST_F(watching_listed_objects, isNotProvenByAChecksAnswerBeforeTheRestart) {
+  const instant RequestedAt = Scheduler.Now;
+  Watcher.onRevisionRead(store_position{0, 12}, RequestedAt);
+  Watcher.invalidatePosition();
+  Api.Check({call_outcome::Done, {}, 12});
+  Watcher.onRevisionRead(store_position{0, 12}, RequestedAt);
+  EXPECT_LT(Watcher.upToDateAt(), RequestedAt);
+  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeTimeout);
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  Scheduler.runNext();
+  EXPECT_EQ(Api.CheckedRevision, 10U);
+  Api.Check({call_outcome::Done, {}, 12});
+  EXPECT_EQ(Watcher.upToDateAt(), RequestedAt);
+}
+
 // Guards against the same failure if the store cut the others while changes were batched.
 TEST_F(watching_listed_objects, confirmsThePositionIfAnotherWatcherWasInterruptedBetweenWatches) {
   answerWatch(1, 11);
