Replace a watch that misses changes by a linearizable one

Cause: when a check showed changes that the watch hadn't reported, the watch was restarted as a stale one. It could reach the same replica again, and the next check another one, so this was repeated each 0.3 to 0.6 s until the replica had caught up.

Change: the restart uses a linearizable watch. Stale watches follow once a check has reached the store's revision.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -44,14 +44,20 @@
     return;
   PositionConfirmed = false;
   AwaitsRevision = true;
-  if (!CallInProgress)
-    return;
-  RestartScheduled = true;
   // The store cuts this watch, too, unless it was sent just after the others were cut.
-  Scheduler.runAt(Scheduler.now() + Settings.ProbeTimeout, [this, Number = CallNumber] {
-    if (isInProgress(Number))
-      restartWatch();
-  });
+  if (CallInProgress)
+    scheduleRestart(WatchConsistency);
+}
+
+void object_watcher::scheduleRestart(read_consistency Consistency) {
+  RestartScheduled = true;
+  Scheduler.runAt(Scheduler.now() + Settings.ProbeTimeout,
+                  [this, Consistency, Number = CallNumber] {
+                    if (!isInProgress(Number))
+                      return;
+                    WatchConsistency = Consistency;
+                    restartWatch();
+                  });
 }
 
 void object_watcher::restartWatch() {
@@ -165,11 +171,14 @@
   // Changes in the answer are not reported yet, so they are not behind the checked position.
   if (Answered && Answer.Changes.empty())
     CheckedPosition = std::max(CheckedPosition, Answer.position());
-  // The answer to the watch may be in transit, so the watch is not restarted at once.
   if (!Answered) {
     scheduleCheck(Settings.ProbeTimeout);
   } else if (!Answer.Changes.empty()) {
-    invalidatePosition();
+    // The answer to the watch may be in transit, so the watch is not restarted at once. If it
+    // isn't, its replica may be behind that of the check.
+    PositionConfirmed = false;
+    AwaitsRevision = true;
+    scheduleRestart(read_consistency::Linearizable);
   } else if (CheckedPosition < StorePosition) {
     if (SentConsistency == read_consistency::Stale)
       leaveStaleWatch();
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -62,7 +62,7 @@
 ///   can't be read. If it is not answered, the call is dropped as failed.
 /// - Its answer was lost on a connection that stays open. Therefore a check is repeated whenever
 ///   the store's revision (watch_group) shows that there were changes. If the check reports changes
-///   that the watch did not report, the watch is restarted.
+///   that the watch did not report, a linearizable one replaces it.
 /// - Long watches are stale, and stale reads may be seconds behind. If a check is behind the
 ///   store's revision, linearizable watches are used until stale reads have caught up.
 /// - The store dropped the history after its position while it waited. The store refuses such a
@@ -120,6 +120,9 @@
   void startWatch();
   /// Drops the watch in progress and sends another one.
   void restartWatch();
+  /// Restarts the watch in progress after ProbeTimeout, as one of \p Consistency, unless it ends
+  /// before.
+  void scheduleRestart(read_consistency Consistency);
   void finishList(list_answer Answer);
   void finishWatch(const watch_answer &Answer);
   /// Checks that the store processes calls and has no changes that the watch in progress did not
--- a/tests/store/view_of_changes_test.cpp
+++ b/tests/store/view_of_changes_test.cpp
@@ -374,6 +374,21 @@
   }
 }
 
+// Guards against a watch that is restarted again and again at a replica that is behind, while
+// checks reach another one that has the changes.
+TEST_P(view_from_stale_reads, isCurrentIfReplicasAreOfDifferentAge) {
+  for (duration Offset{}; Offset < seconds(4); Offset += milliseconds(50)) {
+    reset();
+    Store->setReplicaLags({duration::zero(), seconds(20)});
+    for (int I = 0; I < 4; ++I) {
+      advance(Offset);
+      changeAll();
+      advance(ChangeTime);
+      EXPECT_TRUE(isCurrent()) << Offset.count() << " " << I;
+    }
+  }
+}
+
 class proof_of_a_view : public view_of_changes {
 protected:
   /// Changes some kinds at random times, and requests the store's revision as a packet of a flow
