Order targets with the same token by the start of their processes

Cause: of two targets with the same 32-bit token, the one whose entry the store had created first owned it. An entry that lapsed and is written again has a new creation revision. The younger target's entry came back first, so the token went to that one, and with it the packets of the older one's open flows.

Ruled out: the lapse itself (the owner stays known for 60 s). Keeping the first creation revision of a process, as was done across eras, mends only forwarders that have seen it; one that starts afterwards has the new order.

Change: the order is that of the processes' starts, which targets state in their entries, then of the names. All forwarders with the same entries agree. The creation revision is no longer read. registration_changed shows started_ms and owns_token.

--- a/src/forward/target.h
+++ b/src/forward/target.h
@@ -14,15 +14,12 @@
 struct target {
   target_registration Registration;
   flow_token Token = NoToken;
-  /// Where the store created the entry. It orders the targets that have the same token. The
-  /// position of an earlier era is kept if the same process writes its entry again in a higher one.
-  store_position CreatedAt;
   /// Until then the target counts as draining, because the store came back from a copy that may be
   /// older than its announcement.
   instant DrainingUntil{};
   /// The target is in the balancer's own data centre.
   bool Local = false;
-  /// False if another target has the same token and an older entry: a flow assigned to this target
+  /// False if another target has the same token and started earlier: a flow assigned to this target
   /// could not be distinguished from a flow of the other one.
   bool OwnsToken = true;
   /// target_registry::releaseToken() gave the token to another target.
--- a/src/forward/target_registration.h
+++ b/src/forward/target_registration.h
@@ -28,8 +28,7 @@
   /// Start of the target's process in Unix milliseconds. A target that restarts under the same name
   /// has a different start time and none of its earlier flows.
   std::uint64_t StartedMs = 0;
-  /// Revisions of the store at which the entry was created and last changed.
-  std::uint64_t Created = 0;
+  /// Revision of the store at which the entry was last changed.
   std::uint64_t Revision = 0;
   /// Era of the store in which the entry was read.
   std::uint64_t Era = 0;
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -10,8 +10,8 @@
 
 /// Returns whether \p A owns the token rather than \p B if both have the same one.
 bool precedes(const target &A, const target &B) {
-  return std::tie(A.TokenReleased, A.CreatedAt, A.Registration.Name) <
-         std::tie(B.TokenReleased, B.CreatedAt, B.Registration.Name);
+  return std::tie(A.TokenReleased, A.Registration.StartedMs, A.Registration.Name) <
+         std::tie(B.TokenReleased, B.Registration.StartedMs, B.Registration.Name);
 }
 
 } // namespace
@@ -27,17 +27,12 @@
   const bool SameProcess = Known && Entry->Registration.StartedMs == Registration.StartedMs;
   const bool Restarted = Known && !SameProcess;
   const bool NewEra = Known && Registration.Era > Entry->Registration.Era;
-  const bool KeepsCreation =
-      NewEra ? SameProcess : Known && Registration.Created == Entry->Registration.Created;
-  const store_position CreatedAt =
-      KeepsCreation ? Entry->CreatedAt : store_position{Registration.Era, Registration.Created};
   const bool StaysDraining = SameProcess && Now < RecoveryEndsAt && Entry->draining(Now);
-  // The order of creation only matters if two targets have the same token.
+  // The order of precedes() only matters if two targets have the same token.
   const bool TokensCollide = Tokens.size() < Targets.size();
   const bool IndexChanges = Known && (Entry->Registration.Service != Registration.Service ||
-                                      (TokensCollide && Entry->CreatedAt != CreatedAt));
+                                      (TokensCollide && (Restarted || Entry->TokenReleased)));
   Entry->Registration = Registration;
-  Entry->CreatedAt = CreatedAt;
   Entry->DrainingUntil = StaysDraining ? RecoveryEndsAt : instant{};
   Entry->Token = makeFlowToken(Registration.Number);
   Entry->Local = Registration.DataCentre == Settings.DataCentre;
--- a/src/forward/target_registry.h
+++ b/src/forward/target_registry.h
@@ -29,11 +29,13 @@
 
 /// All targets with a registration in the store, indexed by name, service and token.
 ///
-/// Two targets may have the same token. The one whose entry the store created first owns the token,
-/// and the other one gets no new flows. All balancers receive entries in the order of the store's
-/// revisions, so a balancer that has the later target also has the earlier one, unless it started
-/// after the earlier entry was removed. Such a balancer opens flows at the later target, while the
-/// others keep the token for the removed one until releaseToken().
+/// Two targets may have the same token. The one whose process started first owns the token, and the
+/// other one gets no new flows. Targets state their start in their entries, so all balancers that
+/// have the same entries agree on the owner. The store's revisions don't serve for that: an entry
+/// that lapses and is written again has new ones.
+///
+/// A balancer that started after the earlier target's entry was removed opens flows at the later
+/// target, while the others keep the token for the removed one until releaseToken().
 ///
 /// A store that comes back from an older copy lacks entries and announcements of an end until the
 /// targets have written them again; see beginRecovery().
--- a/src/forwarder/registration_listener.cpp
+++ b/src/forwarder/registration_listener.cpp
@@ -34,6 +34,8 @@
              {"service", Registration.Service},
              {"address", toString(Registration.Address)},
              {"state", Registration.Draining ? "draining" : "ready"},
+             {"started_ms", std::to_string(Registration.StartedMs)},
+             {"owns_token", Targets.find(Registration.Name)->OwnsToken ? "yes" : "no"},
              {"revision", std::to_string(Registration.Revision)}});
 }
 
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -393,6 +393,29 @@
   EXPECT_EQ(open(9).Target, Targets.find("i-late"));
 }
 
+// Guards against a reset of open flows by the other target with their token, after an outage of the
+// store in which the entries lapsed and were written again in another order (review, case 10).
+TEST_F(forwarding, keepsFlowsAtTheOwnerOfATokenWhenEntriesAreWrittenAgain) {
+  const auto Numbers = collidingNumbers();
+  const flow_token Token = makeFlowToken(Numbers.first);
+  target_registration Early = registration("i-b-early", Numbers.first);
+  target_registration Late = registration("i-a-late", Numbers.second);
+  Early.StartedMs = 1000;
+  Late.StartedMs = 2000;
+  Targets.put(Early, Now);
+  Targets.put(Late, Now);
+  openAnswered(7);
+  Targets.replaceAll({}, {0, ++Revision}, Now);
+  Now += milliseconds(400);
+  for (target_registration *Entry : {&Late, &Early}) {
+    Entry->Revision = ++Revision;
+    Targets.put(*Entry, Now);
+    for (const std::uint16_t Port : {std::uint16_t{7}, std::uint16_t{8}})
+      EXPECT_EQ(send(Port, Token, 500).Target->Registration.Name, "i-b-early");
+    Now += milliseconds(400);
+  }
+}
+
 // Guards against latencies that include the caller's pause between two requests.
 TEST_F(forwarding_to_one_target, measuresHandshakesAndAnswers) {
   openAnswered(7);
