Compare the era, too, when an entry restarts a warm-up

Cause: the warm-up of an entry starts when its revision changes. A store that came back from an older copy gives out revisions again, so the entry of a restarted process may have the revision that the entry of the earlier process had, and kept that one's warm-up.

Change: the position, which has the era, is compared. For the same process, the rule for a new era stays: a warm-up never ends later than before.

Test: targets_after_a_return.warmUpAgainIfTheirProcessRestarts failed before.

--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -23,7 +23,7 @@
     return;
   if (!Known)
     Entry = std::make_unique<target>();
-  const bool Changed = !Known || Registration.Revision != Entry->Registration.Revision;
+  const bool Changed = !Known || Registration.position() != Entry->Registration.position();
   const bool SameProcess = Known && Entry->Registration.StartedMs == Registration.StartedMs;
   const bool Restarted = Known && !SameProcess;
   const bool NewEra = Known && Registration.Era > Entry->Registration.Era;
--- a/tests/forward/target_registry_test.cpp
+++ b/tests/forward/target_registry_test.cpp
@@ -301,6 +301,17 @@
   EXPECT_LE(Targets.find("i-2")->WarmUpEndsAt, Now);
 }
 
+// Guards against a restarted target that gets full load while it is cold: its entry of the new era
+// may have the revision that the one before had.
+TEST_F(targets_after_a_return, warmUpAgainIfTheirProcessRestarts) {
+  target_registration Restarted = copied("i-2", 2);
+  Restarted.Revision = Targets.find("i-2")->Registration.Revision;
+  Restarted.StartedMs = 5;
+  Restarted.WarmUpMs = 5000;
+  Targets.put(Restarted, Now);
+  EXPECT_EQ(Targets.find("i-2")->WarmUpEndsAt, Now + seconds(5));
+}
+
 // Guards against open flows that reach another target with the same token, because the two wrote
 // their entries again in another order.
 TEST_F(targets_after_a_return, keepTheOrderOfTokenOwnership) {
