Let watchers take turns with retries

Cause: of the watchers whose calls failed, only the first one retried, and the others called nothing until it succeeded.

Ruled out: a retry by each watcher on its own. Refused calls are priced, and their number would double.

Change: when a retry fails, the next watcher that waits has its turn. The delay grows with the failed retries of all of them, so there are no more calls than before.

Test: watching_beside_a_retry.retriesOnceARetryOfTheOtherWatcherFails failed before.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -375,10 +375,16 @@
   // malformed answer shows that the store answers.
   if (Outcome == call_outcome::Malformed)
     Group.releaseRetry(*this);
-  else if (Position.Revision != 0 && !Group.claimRetry(*this))
-    return;
-  const duration Delay = retryDelay(
-      Position.Revision == 0 ? Settings.StartupBackoff : Settings.Backoff, ConsecutiveFailures - 1);
+  if (Position.Revision == 0)
+    scheduleRetry(Settings.StartupBackoff, ConsecutiveFailures - 1);
+  else if (Outcome == call_outcome::Malformed)
+    scheduleRetry(Settings.Backoff, ConsecutiveFailures - 1);
+  else if (Group.claimRetry(*this))
+    scheduleRetry(Settings.Backoff, Group.failedRetries());
+}
+
+void object_watcher::scheduleRetry(const backoff_settings &Backoff, std::uint32_t Failed) {
+  const duration Delay = retryDelay(Backoff, Failed);
   // The store drops its history shortly after it has cut the watches.
   scheduleCall(AwaitsRevision ? std::max(Delay, Settings.ProbeTimeout) : Delay);
 }
@@ -400,4 +406,9 @@
     scheduleCall(duration::zero());
 }
 
+void object_watcher::retryInTurn() {
+  if (!CallInProgress)
+    scheduleRetry(Settings.Backoff, Group.failedRetries());
+}
+
 } // namespace briarpoint
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -99,6 +99,9 @@
   /// The store answers another watcher again. Call it after a failure that the other one retried.
   void retryNow();
 
+  /// The retry of another watcher failed, and this one is to retry next, after a delay.
+  void retryInTurn();
+
   /// When a list or watch last succeeded; instant{} before the first one.
   instant lastAnswerAt() const { return LastAnswerAt; }
 
@@ -145,6 +148,8 @@
   /// Passes on the era of an answer.
   era_observation observeEra(call_outcome Outcome, std::uint64_t Era);
   duration retryDelay(const backoff_settings &Backoff, std::uint32_t Retry);
+  /// Schedules the call after \p Failed retries.
+  void scheduleRetry(const backoff_settings &Backoff, std::uint32_t Failed);
   void handleFailure(call_outcome Outcome);
   void handleSuccess();
   void markInContact();
--- a/src/store/watch_group.cpp
+++ b/src/store/watch_group.cpp
@@ -2,6 +2,7 @@
 
 #include "store/object_watcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace briarpoint {
@@ -13,11 +14,23 @@
 }
 
 bool watch_group::claimRetry(object_watcher &Watcher) {
-  if (RetryOwner == nullptr)
+  if (RetryOwner == nullptr) {
     RetryOwner = &Watcher;
-  if (RetryOwner == &Watcher)
+    FailedRetries = 0;
     return true;
-  WaitingForRetry.push_back(&Watcher);
+  }
+  const bool RetryFailed = RetryOwner == &Watcher;
+  FailedRetries += RetryFailed ? 1 : 0;
+  if (RetryFailed && WaitingForRetry.empty())
+    return true;
+  if (std::find(WaitingForRetry.begin(), WaitingForRetry.end(), &Watcher) == WaitingForRetry.end())
+    WaitingForRetry.push_back(&Watcher);
+  if (!RetryFailed)
+    return false;
+  object_watcher *Next = WaitingForRetry.front();
+  WaitingForRetry.pop_front();
+  RetryOwner = Next;
+  Next->retryInTurn();
   return false;
 }
 
--- a/src/store/watch_group.h
+++ b/src/store/watch_group.h
@@ -6,6 +6,7 @@
 #include "store/scheduler.h"
 #include "store/store_era.h"
 
+#include <deque>
 #include <vector>
 
 namespace briarpoint {
@@ -42,9 +43,12 @@
   /// other watchers.
   void reportInterruption(const object_watcher &Reporter) const;
 
-  /// Call it after a failed call. Returns whether \p Watcher is to retry; otherwise another one
-  /// retries, and \p Watcher is notified when that one succeeds.
+  /// Call it after a failed call. Returns whether \p Watcher is to retry now; otherwise another one
+  /// retries, and \p Watcher is notified when that one succeeds or fails. The watchers take turns,
+  /// because one may fail for a reason of its own while the store answers.
   bool claimRetry(object_watcher &Watcher);
+  /// Retries that have failed since the store answered the last one.
+  std::uint32_t failedRetries() const { return FailedRetries; }
   /// The store answered a call of \p Watcher. If that one was retrying, the others retry now.
   void releaseRetry(const object_watcher &Watcher);
 
@@ -79,8 +83,9 @@
   instant RevisionRequestedAt{};
   /// The watcher whose failed call is retried; nullptr if there is none.
   const object_watcher *RetryOwner = nullptr;
-  /// Watchers whose calls failed while RetryOwner was retrying.
-  std::vector<object_watcher *> WaitingForRetry;
+  std::uint32_t FailedRetries = 0;
+  /// Watchers whose calls failed while another one was retrying, in the order of their turns.
+  std::deque<object_watcher *> WaitingForRetry;
 };
 
 } // namespace briarpoint
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -294,6 +294,31 @@
   EXPECT_EQ(Api.Calls.front().Revision, 10U);
 }
 
+// Guards against a watcher that waits for as long as another one fails for a reason of its own, such
+// as an answer that is too large for the link (review, case 7). The retries take turns.
+TEST_F(watching_beside_a_retry, retriesOnceARetryOfTheOtherWatcherFails) {
+  OtherScheduler.runNext();
+  OtherApi.take().Watch({call_outcome::Unanswered, {}, 0});
+  OtherScheduler.runNext();
+  EXPECT_TRUE(OtherApi.Calls.empty());
+  ASSERT_TRUE(Scheduler.Action);
+  EXPECT_GE(Scheduler.runNext(), object_watcher_settings().Backoff.Base);
+  EXPECT_EQ(Api.Calls.front().Revision, 10U);
+  // The delay grows with each retry of either watcher.
+  duration Total{};
+  for (int I = 0; I < 20; ++I) {
+    failWatch(call_outcome::Unanswered);
+    Total += OtherScheduler.runNext();
+    OtherApi.take().Watch({call_outcome::Unanswered, {}, 0});
+    Total += Scheduler.runNext();
+  }
+  EXPECT_GT(Total, seconds(60));
+  // One that succeeds ends the wait of the others.
+  answerWatch(1, 11);
+  ASSERT_TRUE(OtherScheduler.Action);
+  EXPECT_EQ(OtherScheduler.runNext(), duration::zero());
+}
+
 // Guards against two retries for one failure of the store. Refused calls are priced, too.
 TEST_F(watching_beside_a_retry, leavesRetriesToTheOtherWatcherUntilTheStoreAnswers) {
   EXPECT_FALSE(Scheduler.Action);
