Send no check while the answer to a call arrives

Cause: after a failure, a check requests the same changes as the watch over a second connection, and must be answered within 1.5 s. At 1 MB an answer and a link of 10 Mbit/s, both take 1.6 s. The check timed out, and the watch was dropped as unconfirmed while its answer arrived, each second time.

Change: object_api::receivedBytes() tells how much of the answer has arrived. While it grows, no check is sent, none ends the call, and the call isn't replaced. An answer that stops for 1.5 s is checked as before.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -77,6 +77,8 @@
   event_pointer Delivery;
   callback Done;
   http_answer Answer;
+  /// The request in progress, which libevent owns; nullptr if there is none.
+  evhttp_request *Request = nullptr;
 
   state(event_base *Base, const http_connection_settings &Settings)
       : Base(Base), Settings(Settings), RequestTimer(event_new(Base, -1, 0, onTimeout, this)),
@@ -104,6 +106,7 @@
 
 void http_connection::state::onTimeout(int, short, void *Argument) {
   auto &Self = *static_cast<state *>(Argument);
+  Self.Request = nullptr;
   Self.Connection.reset();
   Self.finish({});
 }
@@ -130,6 +133,7 @@
 void http_connection::state::finish(http_answer Result) {
   event_del(RequestTimer.get());
   event_del(ConnectTimer.get());
+  Request = nullptr;
   Answer = std::move(Result);
   event_active(Delivery.get(), EV_TIMEOUT, 0);
 }
@@ -165,10 +169,26 @@
 
 http_connection::~http_connection() { cancel(); }
 
+std::size_t http_connection::receivedBytes() const {
+  bufferevent *Buffer = State->Done && State->Connection
+                            ? evhttp_connection_get_bufferevent(State->Connection.get())
+                            : nullptr;
+  if (Buffer == nullptr)
+    return 0;
+  // libevent moves the chunks of a body to the request, and leaves a body of known length in the
+  // connection's buffer until it is complete.
+  const std::size_t Moved =
+      State->Request == nullptr
+          ? 0
+          : evbuffer_get_length(evhttp_request_get_input_buffer(State->Request));
+  return Moved + evbuffer_get_length(bufferevent_get_input(Buffer));
+}
+
 void http_connection::cancel() {
   event_del(State->RequestTimer.get());
   event_del(State->ConnectTimer.get());
   event_del(State->Delivery.get());
+  State->Request = nullptr;
   State->Connection.reset();
   State->Done = nullptr;
   State->Answer = {};
@@ -182,6 +202,7 @@
                                       static_cast<std::int64_t>(Call.MaxResponseSize));
 
   evhttp_request *Request = evhttp_request_new(state::onResponse, &Self);
+  Self.Request = Request;
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Host", toString(Call.Server).c_str());
   for (const auto &[Name, Value] : Call.Headers)
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -41,6 +41,10 @@
   /// may send the next request.
   void send(const outgoing_request &Call, callback Done);
 
+  /// Returns how many bytes of the response to the request in progress have arrived so far; 0 if
+  /// none is in progress.
+  std::size_t receivedBytes() const;
+
   /// Cancels a request in progress without calling its callback, and closes the connection.
   void cancel();
 
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -125,6 +125,9 @@
   virtual void check(const std::string &Kind, std::uint64_t Revision,
                      std::function<void(watch_answer)> Done) = 0;
 
+  /// Bytes of the answer to the list or watch in progress that have arrived so far.
+  virtual std::size_t receivedBytes() const = 0;
+
   /// Drops the calls in progress and their connections.
   virtual void cancel() = 0;
 };
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -28,8 +28,8 @@
 
 void object_watcher::refresh() {
   const instant Now = Scheduler.now();
-  // A list in progress or a retry after a failure has the same effect.
-  if (!CallInProgress || Phase == phase::List || Now < NextRefreshAt)
+  // A list in progress, a retry after a failure or an answer that arrives has the same effect.
+  if (!CallInProgress || Phase == phase::List || Now < NextRefreshAt || isAnswerArriving())
     return;
   NextRefreshAt = Now + Settings.RefreshInterval;
   PositionConfirmed = false;
@@ -55,6 +55,10 @@
                   [this, Consistency, Number = CallNumber] {
                     if (!isInProgress(Number))
                       return;
+                    if (isAnswerArriving()) {
+                      scheduleRestart(Consistency);
+                      return;
+                    }
                     WatchConsistency = Consistency;
                     restartWatch();
                   });
@@ -72,6 +76,7 @@
   Batching = false;
   RestartScheduled = false;
   CheckAnswered = false;
+  ReceivedBytes = 0;
   CheckedPosition = Position;
   ++CallNumber;
   Call = {Type, FromRevision, Now, Now + Wait};
@@ -121,7 +126,21 @@
   }
 }
 
+bool object_watcher::isAnswerArriving() {
+  const std::size_t Received = Api.receivedBytes();
+  if (Received > ReceivedBytes) {
+    ReceivedBytes = Received;
+    StalledAt = Scheduler.now() + Settings.StallTimeout;
+  }
+  return ReceivedBytes > 0 && Scheduler.now() < StalledAt;
+}
+
 void object_watcher::startCheck() {
+  // An answer that arrives shows as much as a check, which would request the same content.
+  if (isAnswerArriving()) {
+    scheduleCheck(Settings.ProbeTimeout);
+    return;
+  }
   ++Counters.Checks;
   Api.check(
       Kind, CheckedPosition.Revision,
@@ -145,6 +164,11 @@
   const bool Current = Era == era_observation::Current;
   const bool HistoryGone = Current && Answer.Outcome == call_outcome::HistoryGone;
   const bool Answered = HistoryGone || (Current && Answer.Outcome == call_outcome::Done);
+  if (!Answered && isAnswerArriving()) {
+    if (!RestartScheduled)
+      scheduleCheck(Settings.ProbeTimeout);
+    return;
+  }
   if (!Answered && !CheckAnswered) {
     Api.cancel();
     CallInProgress = false;
@@ -166,7 +190,7 @@
     scheduleList();
     return;
   }
-  if (RestartScheduled)
+  if (RestartScheduled || isAnswerArriving())
     return;
   // Changes in the answer are not reported yet, so they are not behind the checked position.
   if (Answered && Answer.Changes.empty())
@@ -215,7 +239,8 @@
     return;
   }
   // The next watch begins with a check if it is behind. A list or a short watch is linearizable.
-  if (!CallInProgress || Phase != phase::Watch || !isPositionUsable() || RestartScheduled)
+  if (!CallInProgress || Phase != phase::Watch || !isPositionUsable() || RestartScheduled ||
+      isAnswerArriving())
     return;
   if (!Read && AwaitsRevision)
     leaveStaleWatch();
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -27,6 +27,9 @@
   /// long one. It must exceed the 60 ms between the moment when the platform cuts the watches and
   /// the moment when it drops its history.
   duration ProbeTimeout = std::chrono::milliseconds(300);
+  /// Time without a further part of an answer that has begun to arrive, after which the watcher
+  /// checks whether the store still processes calls.
+  duration StallTimeout = std::chrono::milliseconds(1500);
   /// Time between a change and the next watch. Changes come in groups, and each watch that returns
   /// is a priced call. A change must be in force within 3 s, so the time ends early when a read of
   /// the store's revision shows that there are further changes: they may be as old as the read
@@ -131,6 +134,9 @@
   /// Checks that the store processes calls and has no changes that the watch in progress did not
   /// report.
   void startCheck();
+  /// A part of the answer to the call in progress has arrived within StallTimeout. Larger answers
+  /// take seconds on slow links.
+  bool isAnswerArriving();
   /// \p Number is the number of the checked call.
   void finishCheck(std::uint64_t Number, const watch_answer &Answer);
   void scheduleCheck(duration Delay);
@@ -202,6 +208,10 @@
   bool RestartScheduled = false;
   /// The store answered a check after Call was sent.
   bool CheckAnswered = false;
+  /// Bytes of the answer to the call in progress that had arrived when it was last looked at.
+  std::size_t ReceivedBytes = 0;
+  /// When the answer counts as stalled unless a further part arrives.
+  instant StalledAt{};
   /// Position up to which checks found no change. It advances with each check, so that the store
   /// still has the history after it while a watch waits.
   store_position CheckedPosition;
--- a/tests/forwarder/operations_page_test.cpp
+++ b/tests/forwarder/operations_page_test.cpp
@@ -19,6 +19,7 @@
   void watch(const std::string &, std::uint64_t, duration, read_consistency,
              std::function<void(watch_answer)>) override {}
   void check(const std::string &, std::uint64_t, std::function<void(watch_answer)>) override {}
+  std::size_t receivedBytes() const override { return 0; }
   void cancel() override {}
 };
 
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -268,6 +268,56 @@
   EXPECT_EQ(Api.CheckedRevision, 11U);
 }
 
+/// After a failure, the answer to the watch is large, and the first part of it has arrived when the
+/// check is due.
+class watching_a_large_answer : public watching_listed_objects {
+protected:
+  watching_a_large_answer() {
+    failWatch(call_outcome::Unanswered);
+    Scheduler.runNext();
+    Api.Check = nullptr;
+    Api.Received = 1000;
+    Scheduler.runNext();
+  }
+};
+
+// Guards against an answer that never arrives: a check requests the same content, and takes half of
+// a slow link (review, case 8).
+TEST_F(watching_a_large_answer, sendsNoCheckWhileTheAnswerArrives) {
+  for (int I = 0; I < 20; ++I) {
+    EXPECT_FALSE(Api.Check);
+    Api.Received += 1000;
+    EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeTimeout);
+  }
+  Watcher.onRevisionRead(store_position{0, 20}, Scheduler.Now);
+  EXPECT_FALSE(Api.Check);
+  answerWatch(3, 20);
+  EXPECT_EQ(Listener.Events.back(), "changes 3 at 20");
+}
+
+// Guards against waiting for the rest of an answer on a connection that went silent.
+TEST_F(watching_a_large_answer, sendsTheCheckOnceTheAnswerStops) {
+  duration Total{};
+  while (!Api.Check && Total < seconds(10))
+    Total += Scheduler.runNext();
+  EXPECT_GE(Total, object_watcher_settings().StallTimeout);
+  EXPECT_LE(Total, object_watcher_settings().StallTimeout + milliseconds(600));
+  Api.Check({call_outcome::Unanswered, {}, 0});
+  EXPECT_EQ(Api.Cancelled, 1);
+}
+
+// Guards against dropping an answer because a check was sent before its first part arrived.
+TEST_F(watching_listed_objects, keepsAWatchWhoseAnswerArrivesIfItsCheckTimesOut) {
+  Watcher.onRevisionRead(std::nullopt, Scheduler.Now);
+  ASSERT_TRUE(Api.Check);
+  Api.Received = 1000;
+  Api.Check({call_outcome::Unanswered, {}, 0});
+  EXPECT_EQ(Api.Cancelled, 0);
+  EXPECT_TRUE(Listener.Events.empty());
+  answerWatch(1, 11);
+  EXPECT_EQ(Listener.Events.back(), "changes 1 at 11");
+}
+
 /// The store refused a call of another watcher, which retries, and then one of this watcher.
 class watching_beside_a_retry : public watching_listed_objects {
 protected:
@@ -294,8 +344,8 @@
   EXPECT_EQ(Api.Calls.front().Revision, 10U);
 }
 
-// Guards against a watcher that waits for as long as another one fails for a reason of its own, such
-// as an answer that is too large for the link (review, case 7). The retries take turns.
+// Guards against a watcher that waits for as long as another one fails for a reason of its own,
+// such as an answer that is too large for the link (review, case 7). The retries take turns.
 TEST_F(watching_beside_a_retry, retriesOnceARetryOfTheOtherWatcherFails) {
   OtherScheduler.runNext();
   OtherApi.take().Watch({call_outcome::Unanswered, {}, 0});
--- a/tests/store/watcher_support.h
+++ b/tests/store/watcher_support.h
@@ -38,9 +38,11 @@
     CheckedRevision = Revision;
     Check = std::move(Done);
   }
+  std::size_t receivedBytes() const override { return Received; }
   void cancel() override {
     Calls.clear();
     Check = nullptr;
+    Received = 0;
     ++Cancelled;
   }
   pending_call take() {
@@ -51,6 +53,8 @@
   std::deque<pending_call> Calls;
   std::function<void(watch_answer)> Check;
   std::uint64_t CheckedRevision = 0;
+  /// Bytes of the answer to the first call that have arrived.
+  std::size_t Received = 0;
   int Cancelled = 0;
 };
 
