Let the test of a check beside an arriving answer fail

Cause: keepsAWatchWhoseAnswerArrivesIfItsCheckTimesOut started from a watch whose first check had been answered, so a later one that times out never ended it, and the test passed without the change that it is for.

Change: it starts from a watch without an answered check. With isAnswerArriving() always false, it fails, as do the two tests of watching_a_large_answer; with the code as it is, all store tests pass.

--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -307,15 +307,15 @@
 }
 
 // Guards against dropping an answer because a check was sent before its first part arrived.
-TEST_F(watching_listed_objects, keepsAWatchWhoseAnswerArrivesIfItsCheckTimesOut) {
+TEST_F(watching_after_a_change, keepsAWatchWhoseAnswerArrivesIfItsCheckTimesOut) {
   Watcher.onRevisionRead(std::nullopt, Scheduler.Now);
   ASSERT_TRUE(Api.Check);
   Api.Received = 1000;
   Api.Check({call_outcome::Unanswered, {}, 0});
   EXPECT_EQ(Api.Cancelled, 0);
   EXPECT_TRUE(Listener.Events.empty());
-  answerWatch(1, 11);
-  EXPECT_EQ(Listener.Events.back(), "changes 1 at 11");
+  answerWatch(1, 12);
+  EXPECT_EQ(Listener.Events.back(), "changes 1 at 12");
 }
 
 /// The store refused a call of another watcher, which retries, and then one of this watcher.
