Tell forwarders that start of a recent return of the store

Cause: the recovery time, in which nothing proves a view current, begins when a process sees the store's era rise. A process that starts after the return sees no rise, and took a read of the copy's revision for the proof that it has all routes.

Ruled out: a recovery time for each start in a higher era, since the era doesn't tell when it rose.

Change: an answer with the store's revision also tells for how long the reader has known of the rise, for 10 s (4 bytes more). A process that didn't see the rise takes the rest of the recovery time and drops proofs from the time since. A reader asks another one before its first own read, if the store states eras.

--- a/src/forwarder/store_recovery.cpp
+++ b/src/forwarder/store_recovery.cpp
@@ -14,6 +14,16 @@
             {{"previous", std::to_string(Previous)}, {"era", std::to_string(Current)}});
 }
 
+void store_recovery::onRiseLearned(instant RoseAt) {
+  const instant Now = Clock.now();
+  if (Now >= RoseAt + Duration)
+    return;
+  EndsAt = RoseAt + Duration;
+  const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - RoseAt);
+  Log.write(log_event::StoreRiseLearned,
+            {{"era", std::to_string(Era.current())}, {"age_ms", std::to_string(Age.count())}});
+}
+
 bool store_recovery::endIfDue() {
   if (EndsAt == Never || Clock.now() < EndsAt)
     return false;
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -91,6 +91,8 @@
                          "the store's era can't be read; the highest one so far holds"},
     log_event_definition{log_event::StoreChecked, "store_checked", Info,
                          "a check beside a call to the store ended"},
+    log_event_definition{log_event::StoreRiseLearned, "store_rise_learned", Warning,
+                         "the store came back from an older copy before this process started"},
     log_event_definition{
         log_event::RegistrationRefused, "registration_refused", Warning,
         "registration of a target was refused; the other registrations stay in use"},
--- a/src/store/era_listener.h
+++ b/src/store/era_listener.h
@@ -1,6 +1,8 @@
 #ifndef BRIARPOINT_STORE_ERA_LISTENER_H
 #define BRIARPOINT_STORE_ERA_LISTENER_H
 
+#include "base/instant.h"
+
 #include <cstdint>
 
 namespace briarpoint {
@@ -12,6 +14,9 @@
 
   /// An answer of the store showed \p Era, which is above \p Previous, the highest era before.
   virtual void onEraRose(std::uint64_t Previous, std::uint64_t Era) = 0;
+  /// Another process saw the rise to the current era at \p RoseAt, before this one had an answer of
+  /// the store. What the store has shown since may lack what it lost.
+  virtual void onRiseLearned(instant RoseAt) = 0;
 };
 
 } // namespace briarpoint
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -280,6 +280,16 @@
   scheduleList();
 }
 
+void object_watcher::beginRecovery(instant RoseAt) {
+  const instant EndsAt = RoseAt + Settings.RecoveryTime;
+  if (Scheduler.now() >= EndsAt)
+    return;
+  RecoveryEndsAt = EndsAt;
+  if (UpToDateAt >= RoseAt)
+    UpToDateAt = {};
+  Listener.onEraRose(RecoveryEndsAt);
+}
+
 void object_watcher::finishList(list_answer Answer) {
   CallInProgress = false;
   CallListener.onCallEnded(Call, Answer.Outcome, Answer.Revision, Answer.Objects.size());
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -99,6 +99,10 @@
   /// start().
   void listAgain();
 
+  /// The store's era rose at \p RoseAt, before this process started. Nothing that was read since is
+  /// a proof until RecoveryTime after that.
+  void beginRecovery(instant RoseAt);
+
   /// The store answers another watcher again. Call it after a failure that the other one retried.
   void retryNow();
 
--- a/src/store/revision_exchange.cpp
+++ b/src/store/revision_exchange.cpp
@@ -8,14 +8,17 @@
 namespace briarpoint {
 
 revision_exchange::revision_exchange(const revision_exchange_settings &Settings,
-                                     revision_reader &Own, const store_era &Era,
-                                     revision_sender &Sender, revision_exchange_listener &Listener,
-                                     scheduler &Scheduler, random_source &Random)
+                                     revision_reader &Own, store_era &Era, revision_sender &Sender,
+                                     revision_exchange_listener &Listener, scheduler &Scheduler,
+                                     random_source &Random)
     : Settings(Settings), Own(Own), Era(Era), Sender(Sender), Listener(Listener),
       Scheduler(Scheduler), Random(Random) {
+  Era.join(*this);
   setReaders(Settings.Readers);
 }
 
+void revision_exchange::onEraRose(std::uint64_t, std::uint64_t) { RoseAt = Scheduler.now(); }
+
 void revision_exchange::setReaders(const std::vector<endpoint> &Readers) {
   LocalIsReader = std::find(Readers.begin(), Readers.end(), Settings.Local) != Readers.end();
   Ranked = Readers;
@@ -47,8 +50,16 @@
   return Found == Ranked.end() ? nullptr : &*Found;
 }
 
+const endpoint *revision_exchange::otherReader() const {
+  const auto Found = std::find_if(Ranked.begin(), Ranked.end(),
+                                  [&](const endpoint &Reader) { return Reader != Settings.Local; });
+  return Found == Ranked.end() ? nullptr : &*Found;
+}
+
 void revision_exchange::read(callback Done) {
   const endpoint *Reader = Question ? nullptr : chooseReader();
+  if (!Question && LocalIsReader && Era.current() > 0 && !std::exchange(OtherReaderAsked, true))
+    Reader = otherReader();
   if (Reader == nullptr) {
     readOwn(std::move(Done));
     return;
@@ -86,6 +97,8 @@
     giveUp(revision_answer_outcome::WentBack);
     return;
   }
+  if (Message.SinceRiseMs)
+    Era.learnRise(Scheduler.now() - std::chrono::milliseconds(*Message.SinceRiseMs));
   LastPosition = Message.position();
   const question Ended = std::move(*Question);
   Question.reset();
@@ -103,10 +116,18 @@
   Own.read([this, To, Number = Question.Number](std::optional<store_position> Position) {
     --WaitingQuestions;
     const store_position Known = Position.value_or(store_position());
-    Sender.send(To, {revision_message::type::Answer, Number, Known.Revision, Known.Era});
+    Sender.send(To,
+                {revision_message::type::Answer, Number, Known.Revision, Known.Era, sinceRise()});
   });
 }
 
+std::optional<std::uint32_t> revision_exchange::sinceRise() const {
+  if (!RoseAt || Scheduler.now() >= *RoseAt + Settings.RiseMemory)
+    return std::nullopt;
+  const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Scheduler.now() - *RoseAt);
+  return static_cast<std::uint32_t>(Age.count());
+}
+
 void revision_exchange::giveUp(revision_answer_outcome Outcome) {
   question Ended = std::move(*Question);
   Question.reset();
--- a/src/store/revision_exchange.h
+++ b/src/store/revision_exchange.h
@@ -10,6 +10,7 @@
 #include "store/store_era.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   /// Time for which no question is sent to a reader that didn't answer or couldn't read the
   /// revision.
   duration AvoidanceTime = std::chrono::seconds(5);
+  /// Time for which answers tell of a rise of the store's era, so that forwarders that started
+  /// after it learn of the recovery time. Above the longest recovery time.
+  duration RiseMemory = std::chrono::seconds(10);
   /// Maximum number of questions of others that wait for one call to the store. Further ones are
   /// dropped, and their senders ask the store themselves.
   std::size_t MaxQuestions = 4096;
@@ -48,13 +52,15 @@
 ///
 /// Every forwarder answers questions. The readers are the instances that the settings name; of
 /// these, the forwarders of a region ask the same one, by rendezvous hashing.
-class revision_exchange final : public revision_reader {
+/// Answers also tell of a recent rise of the store's era. A forwarder that started after it takes
+/// the store's content for current otherwise, although it may lack what the store lost. Therefore a
+/// reader asks another one before its first own read, if the store states eras.
+class revision_exchange final : public revision_reader, private era_listener {
 public:
   /// \p Own reads the revision from the store. All references must outlive the object.
   revision_exchange(const revision_exchange_settings &Settings, revision_reader &Own,
-                    const store_era &Era, revision_sender &Sender,
-                    revision_exchange_listener &Listener, scheduler &Scheduler,
-                    random_source &Random);
+                    store_era &Era, revision_sender &Sender, revision_exchange_listener &Listener,
+                    scheduler &Scheduler, random_source &Random);
 
   void read(callback Done) override;
 
@@ -85,9 +91,16 @@
     callback Done;
   };
 
+  void onEraRose(std::uint64_t Previous, std::uint64_t Current) override;
+  void onRiseLearned(instant LearnedRoseAt) override { RoseAt = LearnedRoseAt; }
   /// Returns the reader to ask, or nullptr to read the revision from the store.
   const endpoint *chooseReader() const;
+  /// Returns a reader other than this forwarder, or nullptr.
+  const endpoint *otherReader() const;
   void answer(const endpoint &To, const revision_message &Question);
+  /// Returns the time in milliseconds since the last rise, unless that is longer than RiseMemory
+  /// ago.
+  std::optional<std::uint32_t> sinceRise() const;
   /// Ends the question in progress without an answer, and reads the revision from the store. The
   /// reader isn't asked for AvoidanceTime, except after NewEra.
   void giveUp(revision_answer_outcome Outcome);
@@ -96,7 +109,7 @@
 
   revision_exchange_settings Settings;
   revision_reader &Own;
-  const store_era &Era;
+  store_era &Era;
   revision_sender &Sender;
   revision_exchange_listener &Listener;
   scheduler &Scheduler;
@@ -111,6 +124,10 @@
   /// The position that was read last.
   store_position LastPosition;
   std::size_t WaitingQuestions = 0;
+  /// When the store's era rose last; std::nullopt if no rise is known.
+  std::optional<instant> RoseAt;
+  /// This forwarder is a reader and has asked another one once.
+  bool OtherReaderAsked = false;
 };
 
 } // namespace briarpoint
--- a/src/store/revision_message.cpp
+++ b/src/store/revision_message.cpp
@@ -11,13 +11,17 @@
   Writer.append(static_cast<std::uint64_t>(Message.Type), 1);
   Writer.append(Message.Number, sizeof(Message.Number));
   Writer.append(Message.Revision, sizeof(Message.Revision));
-  if (Message.Era != 0)
+  if (Message.Era != 0) {
     Writer.append(Message.Era, sizeof(Message.Era));
+    if (Message.SinceRiseMs)
+      Writer.append(*Message.SinceRiseMs, sizeof(*Message.SinceRiseMs));
+  }
   return Writer.bytes();
 }
 
 std::optional<revision_message> parseRevisionMessage(std::string_view Bytes) {
-  const bool HasEra = Bytes.size() == RevisionMessageSizeWithEra;
+  const bool HasRise = Bytes.size() == RevisionMessageSizeWithRise;
+  const bool HasEra = HasRise || Bytes.size() == RevisionMessageSizeWithEra;
   if (!HasEra && Bytes.size() != RevisionMessageSize)
     return std::nullopt;
   byte_reader Reader(Bytes);
@@ -30,6 +34,8 @@
   Message.Revision = Reader.read(sizeof(Message.Revision));
   if (HasEra)
     Message.Era = Reader.read(sizeof(Message.Era));
+  if (HasRise)
+    Message.SinceRiseMs = static_cast<std::uint32_t>(Reader.read(sizeof(std::uint32_t)));
   if (HasEra && Message.Era == 0)
     return std::nullopt;
   if (Type == revision_message::type::Question && (HasEra || Message.Revision != 0))
--- a/src/store/revision_message.h
+++ b/src/store/revision_message.h
@@ -29,18 +29,22 @@
   std::uint64_t Revision = 0;
   /// In an answer, the store's era. 0 in a question.
   std::uint64_t Era = 0;
+  /// In an answer of an era above 0, the milliseconds since the sender learned that the store came
+  /// back from an older copy; std::nullopt if that is long ago or the sender doesn't know of it.
+  std::optional<std::uint32_t> SinceRiseMs = {};
 
   store_position position() const { return {Era, Revision}; }
   auto operator<=>(const revision_message &) const = default;
 };
 
-/// Size of a message in bytes, without and with the era.
+/// Size of a message in bytes, without the era, with it, and with the time since its rise, too.
 inline constexpr std::size_t RevisionMessageSize = 20;
 inline constexpr std::size_t RevisionMessageSizeWithEra = 28;
+inline constexpr std::size_t RevisionMessageSizeWithRise = 32;
 
 /// Returns the message as bytes: protocol identifier (3 bytes), type (1), number (8) and revision
-/// (8), in network byte order, and the era (8) unless it is 0. So processes that know no era
-/// understand the messages in era 0.
+/// (8), in network byte order, the era (8) unless it is 0, and the time since its rise (4) if there
+/// is one. So processes that know no era understand the messages in era 0.
 std::string writeRevisionMessage(const revision_message &Message);
 
 /// Returns std::nullopt if the bytes are not a valid message.
--- a/src/store/watch_group.cpp
+++ b/src/store/watch_group.cpp
@@ -55,6 +55,11 @@
     Watcher->listAgain();
 }
 
+void watch_group::onRiseLearned(instant RoseAt) {
+  for (object_watcher *Watcher : Watchers)
+    Watcher->beginRecovery(RoseAt);
+}
+
 void watch_group::finishRead(std::optional<store_position> Position) {
   ReadInProgress = false;
   // A read that ended before the rise proves nothing for the new era.
--- a/tests/store/revision_exchange_test.cpp
+++ b/tests/store/revision_exchange_test.cpp
@@ -379,6 +379,17 @@
   EXPECT_FALSE(parseRevisionMessage(writeRevisionMessage(Question)));
 }
 
+// Guards against a time since the rise that is lost, or taken from a message of another length.
+TEST(revision_messages, tellHowLongAgoTheEraRose) {
+  const revision_message Answer{revision_message::type::Answer, 7, 9, 3, 1500};
+  const std::string Bytes = writeRevisionMessage(Answer);
+  EXPECT_EQ(Bytes.size(), RevisionMessageSizeWithRise);
+  EXPECT_EQ(parseRevisionMessage(Bytes), Answer);
+  for (std::size_t Size = RevisionMessageSizeWithEra + 1; Size < Bytes.size(); ++Size)
+    EXPECT_FALSE(parseRevisionMessage(std::string_view(Bytes).substr(0, Size))) << Size;
+  EXPECT_FALSE(parseRevisionMessage(Bytes + "x"));
+}
+
 /// The store has come back from a copy since the last answer of the reader.
 class asking_a_reader_after_a_return : public asking_a_reader {
 protected:
@@ -419,6 +430,69 @@
   EXPECT_EQ(asker().Era.current(), 0U);
 }
 
+/// The readers saw the rise a second ago, and then another forwarder has started and listed the
+/// copy.
+class starting_after_a_return : public asking_a_reader_after_a_return {
+protected:
+  starting_after_a_return() {
+    for (const auto &Reader : {&preferredReader(), &otherReader()})
+      Reader->read();
+    advance(milliseconds(100));
+    for (const auto &Reader : {&preferredReader(), &otherReader()})
+      Reader->Era.observe(1);
+    RoseAt = Clock.now();
+    advance(seconds(1));
+  }
+  /// Starts a forwarder at the endpoint of \p Number.
+  simulated_node &start(std::uint32_t Number) {
+    Nodes.push_back(std::make_unique<simulated_node>(
+        Network, Store, instance(Number), std::vector<endpoint>{instance(1), instance(2)}, Random));
+    Nodes.back()->Era.observe(1);
+    Nodes.back()->Era.join(Learner);
+    return *Nodes.back();
+  }
+  struct learner final : era_listener {
+    void onEraRose(std::uint64_t, std::uint64_t) override {}
+    void onRiseLearned(instant At) override { LearnedAt.push_back(At); }
+    std::vector<instant> LearnedAt;
+  };
+  learner Learner;
+  instant RoseAt{};
+};
+
+// Guards against a forwarder that takes the copy for current, although it lacks what the operator
+// is still to write again (review, case 9).
+TEST_F(starting_after_a_return, learnsOfTheRiseByTheFirstAnswer) {
+  simulated_node &Started = start(50);
+  Started.read();
+  advance(seconds(1));
+  ASSERT_EQ(Learner.LearnedAt.size(), 1U);
+  EXPECT_LE(std::chrono::abs(Learner.LearnedAt.front() - RoseAt), milliseconds(500));
+  Started.read();
+  advance(seconds(1));
+  EXPECT_EQ(Learner.LearnedAt.size(), 1U);
+}
+
+// Guards against the same of a forwarder that is a reader itself, which asks no other one later.
+TEST_F(starting_after_a_return, learnsOfTheRiseFromTheOtherReaderIfItIsOneItself) {
+  simulated_node &Started = start(1);
+  Started.read();
+  advance(seconds(1));
+  EXPECT_EQ(Learner.LearnedAt.size(), 1U);
+  const std::size_t Questions = Started.Outcomes.size();
+  Started.read();
+  advance(seconds(1));
+  EXPECT_EQ(Started.Outcomes.size(), Questions);
+}
+
+// Guards against a recovery time long after the rise.
+TEST_F(starting_after_a_return, isNotToldOfARiseThatIsLongAgo) {
+  advance(seconds(10));
+  start(50).read();
+  advance(seconds(1));
+  EXPECT_TRUE(Learner.LearnedAt.empty());
+}
+
 // Guards against an answer of a reader that hasn't seen the rise.
 TEST_F(asking_a_reader_after_a_return, ignoresAnAnswerOfTheEraBefore) {
   asker().Era.observe(1);
