End a test at the call that it finds cancelled

keepsAWatchWhoseAnswerArrivesIfItsCheckTimesOut went on after its watch had been cancelled, and the process ended instead of reporting the failure. With isAnswerArriving() always false it now fails by its own check, and the others of the program run.

--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -312,7 +312,7 @@
   ASSERT_TRUE(Api.Check);
   Api.Received = 1000;
   Api.Check({call_outcome::Unanswered, {}, 0});
-  EXPECT_EQ(Api.Cancelled, 0);
+  ASSERT_EQ(Api.Cancelled, 0);
   EXPECT_TRUE(Listener.Events.empty());
   answerWatch(1, 12);
   EXPECT_EQ(Listener.Events.back(), "changes 1 at 12");
