Treat a configuration whose name can't be read as refused

Cause: route_listener ignored an object without a readable name. The watch's position moved past it all the same, so the routes counted as current.

Change: such an object of the configuration's kind is a refused version, with its log line and counter, and the routes prove nothing until the next one.

Test: store_changes.ofRoutesProveNothingIfTheirObjectIsOdd failed before.

--- a/src/forwarder/route_listener.cpp
+++ b/src/forwarder/route_listener.cpp
@@ -12,7 +12,9 @@
       OnList(std::move(OnList)) {}
 
 void route_listener::apply(const stored_object &Object, std::uint64_t Era) {
-  if (Object.Name != Format.configurationName())
+  // An object whose name can't be read may be the configuration.
+  const bool Unnamed = Object.Name.empty() && !Object.Defect.empty();
+  if (!Unnamed && Object.Name != Format.configurationName())
     return;
   try {
     const routing_configuration Configuration = Format.parseConfiguration(Object);
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -65,6 +65,7 @@
         {0, 6});
   }
 
+  std::uint64_t Version = 0;
   std::ostringstream Stream;
   set_clock Clock;
   event_log Log{std::make_shared<spdlog::logger>(
@@ -159,6 +160,24 @@
   EXPECT_TRUE(Routes.isCurrentAsOf(Earlier));
 }
 
+// Guards against the same if not even the name of the changed object can be read: it may be the
+// configuration, and its revision counts as received.
+TEST_F(store_changes, ofRoutesProveNothingIfTheirObjectIsOdd) {
+  const instant Earlier = Clock.now() - std::chrono::seconds(1);
+  Routes.setCurrentAt(Clock.now());
+  for (const char *Odd : {"7", R"({"spec":{"version":2,"routes":[]}})", R"({"meta":7})"}) {
+    SCOPED_TRACE(Odd);
+    Counters.RefusedConfigurations = 0;
+    configure(R"({"version":)" + std::to_string(++Version) + R"(,"routes":[]})");
+    ASSERT_TRUE(Routes.isCurrentAsOf(Earlier));
+    Configuration.onChanges(
+        parseWatchAnswer(answer(R"({"events":[)" + event(Odd) + R"(],"current_rev":7})")).Changes,
+        {0, 7});
+    EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
+    EXPECT_EQ(Counters.RefusedConfigurations, 1U);
+  }
+}
+
 /// The targets i-1 and i-2 are in data centre "z".
 class store_changes_of_evacuations : public store_changes {
 protected:
