Prove nothing by a version that the store has lost

Cause: a version of the copy is not applied if a later one is in force. The routes counted as current all the same once the recovery time had ended, although they are not those of the store, and other forwarders open flows by the older version.

Change: until the store has the version in force or a later one, the routes prove nothing, and open flows are forwarded by their tokens. Event 2021, routes_not_in_store, tells the operator.

Test: configuration_after_a_return.provesNothingWhileTheStoreHasAnOlderVersion failed before.

--- a/src/forward/route_table.cpp
+++ b/src/forward/route_table.cpp
@@ -34,6 +34,7 @@
         Next.try_emplace(Address, std::move(Active));
   applyServices(Configuration);
   Complete = Configuration.RefusedRoutes.empty();
+  InStore = true;
   Routes = std::move(Next);
   Priorities.clear();
   for (const auto &[Address, Active] : Routes)
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -49,11 +49,16 @@
   /// A newer version was refused, so nothing is known of its routes.
   void onVersionRefused() { Complete = false; }
 
+  /// Whether the store has the version in force. If it came back from a copy with an older one,
+  /// balancers that started since have that one.
+  void setInStore(bool IsInStore) { InStore = IsInStore; }
+  bool isInStore() const { return InStore; }
+
   /// The store had no version at \p At that this table hasn't seen.
   void setCurrentAt(instant At) { CurrentAt = At; }
   /// Returns whether the routes include all versions under which other balancers can have opened a
   /// flow before \p Time.
-  bool isCurrentAsOf(instant Time) const { return Complete && Time < CurrentAt; }
+  bool isCurrentAsOf(instant Time) const { return Complete && InStore && Time < CurrentAt; }
 
   /// Returns whether packets of an open flow of \p Route may be forwarded to \p Service.
   bool allowsFlow(const active_route &Route, const std::string &Service, instant Now) const {
@@ -87,6 +92,7 @@
   instant CurrentAt{};
   /// No route of the version in force was refused, and no version since.
   bool Complete = true;
+  bool InStore = true;
   std::uint64_t Version = 0;
   duration IdleTimeout = routing_configuration().IdleTimeout;
   std::map<ipv4_endpoint, active_route> Routes;
--- a/src/forwarder/route_listener.cpp
+++ b/src/forwarder/route_listener.cpp
@@ -23,8 +23,11 @@
     const bool Same = InForce == Configuration;
     if (Same)
       InForceEra = Era;
-    if (Same || !Routes.apply(Configuration, Rose))
+    if (Same || !Routes.apply(Configuration, Rose)) {
+      if (Same || Rose)
+        setInStore(Same, Configuration.Version);
       return;
+    }
     InForce = Configuration;
     InForceEra = Era;
     logRefusedParts(Configuration);
@@ -43,6 +46,15 @@
   }
 }
 
+void route_listener::setInStore(bool IsInStore, std::uint64_t StoreVersion) {
+  if (IsInStore == Routes.isInStore())
+    return;
+  Routes.setInStore(IsInStore);
+  if (!IsInStore)
+    Log.write(log_event::RoutesNotInStore, {{"version", std::to_string(Routes.version())},
+                                            {"store_version", std::to_string(StoreVersion)}});
+}
+
 void route_listener::logRefusedParts(const routing_configuration &Configuration) {
   const std::string Version = std::to_string(Configuration.Version);
   for (const refused_route &Refused : Configuration.RefusedRoutes) {
--- a/src/forwarder/route_listener.h
+++ b/src/forwarder/route_listener.h
@@ -31,6 +31,8 @@
 
 private:
   void apply(const stored_object &Object, std::uint64_t Era);
+  /// Whether the store has the version in force; otherwise it has \p StoreVersion.
+  void setInStore(bool IsInStore, std::uint64_t StoreVersion);
   void logRefusedParts(const routing_configuration &Configuration);
 
   const object_format &Format;
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -93,6 +93,8 @@
                          "a check beside a call to the store ended"},
     log_event_definition{log_event::StoreRiseLearned, "store_rise_learned", Warning,
                          "the store came back from an older copy before this process started"},
+    log_event_definition{log_event::RoutesNotInStore, "routes_not_in_store", Warning,
+                         "the store has lost the version in force, which stays in force"},
     log_event_definition{
         log_event::RegistrationRefused, "registration_refused", Warning,
         "registration of a target was refused; the other registrations stay in use"},
--- a/src/log/log_event.h
+++ b/src/log/log_event.h
@@ -55,6 +55,7 @@
   StoreEraUnreadable = 2018,
   StoreChecked = 2019,
   StoreRiseLearned = 2020,
+  RoutesNotInStore = 2021,
   RegistrationRefused = 2101,
   RegistrationChanged = 2102,
   TargetSuspected = 2103,
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -331,6 +331,25 @@
   EXPECT_EQ(linesOf("routes_applied"), 2U);
 }
 
+// Guards against resets of open flows by a version that the store has lost: balancers that have
+// started since open flows by the one that it has.
+TEST_F(configuration_after_a_return, provesNothingWhileTheStoreHasAnOlderVersion) {
+  const instant Earlier = Clock.now() - std::chrono::seconds(1);
+  Routes.setCurrentAt(Clock.now());
+  ASSERT_TRUE(Routes.isCurrentAsOf(Earlier));
+  listInEra(1, 1, "b");
+  EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
+  EXPECT_EQ(linesOf("routes_not_in_store"), 1U);
+  // The operator writes it again, unchanged.
+  listInEra(1, 2, "a");
+  EXPECT_TRUE(Routes.isCurrentAsOf(Earlier));
+  // Another return, after which the operator writes another version.
+  listInEra(2, 1, "b");
+  EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
+  listInEra(2, 3, "b");
+  EXPECT_TRUE(Routes.isCurrentAsOf(Earlier));
+}
+
 // Guards against log lines and lost history of routes for a version that came back unchanged.
 TEST_F(configuration_after_a_return, staysIfItWasWrittenAgainUnchanged) {
   listInEra(1, 2, "a");
