--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -192,18 +192,24 @@
   }
   if (RestartScheduled || isAnswerArriving())
     return;
-  // Changes in the answer are not reported yet, so they are not behind the checked position.
-  if (Answered && Answer.Changes.empty())
-    CheckedPosition = std::max(CheckedPosition, Answer.position());
-  if (!Answered) {
+  if (Answered)
+    compareWithCheck(Answer);
+  else
     scheduleCheck(Settings.ProbeTimeout);
-  } else if (!Answer.Changes.empty()) {
-    // The answer to the watch may be in transit, so the watch is not restarted at once. If it
-    // isn't, its replica may be behind that of the check.
+}
+
+void object_watcher::compareWithCheck(const watch_answer &Check) {
+  if (!Check.Changes.empty()) {
+    // The changes aren't reported yet, so CheckedPosition stays. The answer to the watch may be in
+    // transit, so the watch is not restarted at once. If it isn't, its replica may be behind that
+    // of the check.
     PositionConfirmed = false;
     AwaitsRevision = true;
     scheduleRestart(read_consistency::Linearizable);
-  } else if (CheckedPosition < StorePosition) {
+    return;
+  }
+  CheckedPosition = std::max(CheckedPosition, Check.position());
+  if (CheckedPosition < StorePosition) {
     if (SentConsistency == read_consistency::Stale)
       leaveStaleWatch();
   } else {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -62,7 +62,8 @@
 /// changes, there are four reasons why a watch may stay without an answer:
 /// - The store never received it. A hanging store keeps connections alive. Therefore a check
 ///   follows each list, and each long watch that is behind the store's revision or whose revision
-///   can't be read. If it is not answered, the call is dropped as failed.
+///   can't be read. If it is not answered, the call is dropped as failed. While a part of the
+///   call's own answer arrives, there is no check: it would request the same content.
 /// - Its answer was lost on a connection that stays open. Therefore a check is repeated whenever
 ///   the store's revision (watch_group) shows that there were changes. If the check reports changes
 ///   that the watch did not report, a linearizable one replaces it.
@@ -143,6 +144,8 @@
   bool isAnswerArriving();
   /// \p Number is the number of the checked call.
   void finishCheck(std::uint64_t Number, const watch_answer &Answer);
+  /// Draws the conclusions from the answer to a check of the long watch in progress.
+  void compareWithCheck(const watch_answer &Check);
   void scheduleCheck(duration Delay);
   bool isInProgress(std::uint64_t Number) const { return CallInProgress && Number == CallNumber; }
   /// The watch in progress, or the next one, is a long one.
