--- a/src/forwarder/store_recovery.cpp
+++ b/src/forwarder/store_recovery.cpp
@@ -14,13 +14,13 @@
             {{"previous", std::to_string(Previous)}, {"era", std::to_string(Current)}});
 }
 
-void store_recovery::onRiseLearned(instant RoseAt) {
+void store_recovery::onRemoteRise(instant RoseAt) {
   const instant Now = Clock.now();
   if (Now >= RoseAt + Duration)
     return;
   EndsAt = RoseAt + Duration;
   const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - RoseAt);
-  Log.write(log_event::StoreRiseLearned,
+  Log.write(log_event::StoreRiseReported,
             {{"era", std::to_string(Era.current())}, {"age_ms", std::to_string(Age.count())}});
 }
 
--- a/src/forwarder/store_recovery.h
+++ b/src/forwarder/store_recovery.h
@@ -21,7 +21,7 @@
 
 private:
   void onEraRose(std::uint64_t Previous, std::uint64_t Era) override;
-  void onRiseLearned(instant RoseAt) override;
+  void onRemoteRise(instant RoseAt) override;
 
   duration Duration;
   store_era &Era;
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -91,7 +91,7 @@
                          "the store's era can't be read; the highest one so far holds"},
     log_event_definition{log_event::StoreChecked, "store_checked", Info,
                          "a check beside a call to the store ended"},
-    log_event_definition{log_event::StoreRiseLearned, "store_rise_learned", Warning,
+    log_event_definition{log_event::StoreRiseReported, "store_rise_reported", Warning,
                          "the store came back from an older copy before this process started"},
     log_event_definition{log_event::RoutesNotInStore, "routes_not_in_store", Warning,
                          "the store has lost the version in force, which stays in force"},
--- a/src/log/log_event.h
+++ b/src/log/log_event.h
@@ -54,7 +54,7 @@
   StoreRecoveryEnded = 2017,
   StoreEraUnreadable = 2018,
   StoreChecked = 2019,
-  StoreRiseLearned = 2020,
+  StoreRiseReported = 2020,
   RoutesNotInStore = 2021,
   RegistrationRefused = 2101,
   RegistrationChanged = 2102,
--- a/src/store/era_listener.h
+++ b/src/store/era_listener.h
@@ -16,7 +16,7 @@
   virtual void onEraRose(std::uint64_t Previous, std::uint64_t Era) = 0;
   /// Another process saw the rise to the current era at \p RoseAt, before this one had an answer of
   /// the store. What the store has shown since may lack what it lost.
-  virtual void onRiseLearned(instant RoseAt) = 0;
+  virtual void onRemoteRise(instant RoseAt) = 0;
 };
 
 } // namespace briarpoint
--- a/src/store/revision_exchange.cpp
+++ b/src/store/revision_exchange.cpp
@@ -98,7 +98,7 @@
     return;
   }
   if (Message.SinceRiseMs)
-    Era.learnRise(Scheduler.now() - std::chrono::milliseconds(*Message.SinceRiseMs));
+    Era.observeRemoteRise(Scheduler.now() - std::chrono::milliseconds(*Message.SinceRiseMs));
   LastPosition = Message.position();
   const question Ended = std::move(*Question);
   Question.reset();
--- a/src/store/revision_exchange.h
+++ b/src/store/revision_exchange.h
@@ -29,8 +29,8 @@
   /// Time for which no question is sent to a reader that didn't answer or couldn't read the
   /// revision.
   duration AvoidanceTime = std::chrono::seconds(5);
-  /// Time for which answers tell of a rise of the store's era, so that forwarders that started
-  /// after it learn of the recovery time. Above the longest recovery time.
+  /// Time after a rise of the store's era for which answers have its age, so that forwarders that
+  /// started since observe the recovery time. Above the longest recovery time.
   duration RiseMemory = std::chrono::seconds(10);
   /// Maximum number of questions of others that wait for one call to the store. Further ones are
   /// dropped, and their senders ask the store themselves.
@@ -52,9 +52,9 @@
 ///
 /// Every forwarder answers questions. The readers are the instances that the settings name; of
 /// these, the forwarders of a region ask the same one, by rendezvous hashing.
-/// Answers also tell of a recent rise of the store's era. A forwarder that started after it takes
-/// the store's content for current otherwise, although it may lack what the store lost. Therefore a
-/// reader asks another one before its first own read, if the store states eras.
+/// Answers also have the age of a recent rise of the store's era. A forwarder that started after it
+/// takes the store's content for current otherwise, although it may lack what the store lost.
+/// Therefore a reader asks another one before its first own read, if the store states eras.
 class revision_exchange final : public revision_reader, private era_listener {
 public:
   /// \p Own reads the revision from the store. All references must outlive the object.
@@ -92,7 +92,7 @@
   };
 
   void onEraRose(std::uint64_t Previous, std::uint64_t Current) override;
-  void onRiseLearned(instant LearnedRoseAt) override { RoseAt = LearnedRoseAt; }
+  void onRemoteRise(instant RemoteRoseAt) override { RoseAt = RemoteRoseAt; }
   /// Returns the reader to ask, or nullptr to read the revision from the store.
   const endpoint *chooseReader() const;
   /// Returns a reader other than this forwarder, or nullptr.
--- a/src/store/revision_message.h
+++ b/src/store/revision_message.h
@@ -29,7 +29,7 @@
   std::uint64_t Revision = 0;
   /// In an answer, the store's era. 0 in a question.
   std::uint64_t Era = 0;
-  /// In an answer of an era above 0, the milliseconds since the sender learned that the store came
+  /// In an answer of an era above 0, the milliseconds since the sender saw that the store came
   /// back from an older copy; std::nullopt if that is long ago or the sender doesn't know of it.
   std::optional<std::uint32_t> SinceRiseMs = {};
 
--- a/src/store/store_era.cpp
+++ b/src/store/store_era.cpp
@@ -12,17 +12,17 @@
   if (Era < *Highest)
     return era_observation::Outdated;
   const std::uint64_t Previous = std::exchange(*Highest, Era);
-  RiseKnown = true;
+  RiseObserved = true;
   for (era_listener *Listener : Listeners)
     Listener->onEraRose(Previous, Era);
   return era_observation::Rose;
 }
 
-void store_era::learnRise(instant RoseAt) {
-  if (std::exchange(RiseKnown, true))
+void store_era::observeRemoteRise(instant RoseAt) {
+  if (std::exchange(RiseObserved, true))
     return;
   for (era_listener *Listener : Listeners)
-    Listener->onRiseLearned(RoseAt);
+    Listener->onRemoteRise(RoseAt);
 }
 
 } // namespace briarpoint
--- a/src/store/store_era.h
+++ b/src/store/store_era.h
@@ -21,7 +21,7 @@
 /// process, so that a rise that one of them sees is known to all.
 ///
 /// The first era isn't a rise: a process that has just started has no newer state that it could
-/// lose. It may learn of the rise from another process.
+/// lose. Another process may report the rise.
 class store_era {
 public:
   /// Listeners are notified in the order in which they join. \p Listener must outlive the last call
@@ -32,16 +32,16 @@
   era_observation observe(std::uint64_t Era);
 
   /// Another process saw the rise to the current era at \p RoseAt. Has no effect if this process
-  /// saw it, too, or has learned of it.
-  void learnRise(instant RoseAt);
+  /// saw it, too, or after an earlier report.
+  void observeRemoteRise(instant RoseAt);
 
   /// The highest era so far; 0 before the first answer.
   std::uint64_t current() const { return Highest.value_or(0); }
 
 private:
   std::optional<std::uint64_t> Highest;
-  /// The rise to the highest era was seen or learned of.
-  bool RiseKnown = false;
+  /// The rise to the highest era was seen here or reported.
+  bool RiseObserved = false;
   std::vector<era_listener *> Listeners;
 };
 
--- a/src/store/watch_group.cpp
+++ b/src/store/watch_group.cpp
@@ -55,7 +55,7 @@
     Watcher->listAgain();
 }
 
-void watch_group::onRiseLearned(instant RoseAt) {
+void watch_group::onRemoteRise(instant RoseAt) {
   for (object_watcher *Watcher : Watchers)
     Watcher->beginRecovery(RoseAt);
 }
--- a/src/store/watch_group.h
+++ b/src/store/watch_group.h
@@ -68,7 +68,7 @@
 
 private:
   void onEraRose(std::uint64_t Previous, std::uint64_t Current) override;
-  void onRiseLearned(instant RoseAt) override;
+  void onRemoteRise(instant RoseAt) override;
   void finishRead(std::optional<store_position> Position);
 
   duration Interval;
--- a/tests/store/revision_exchange_test.cpp
+++ b/tests/store/revision_exchange_test.cpp
@@ -380,7 +380,7 @@
 }
 
 // Guards against a time since the rise that is lost, or taken from a message of another length.
-TEST(revision_messages, tellHowLongAgoTheEraRose) {
+TEST(revision_messages, haveTheTimeSinceARecentRise) {
   const revision_message Answer{revision_message::type::Answer, 7, 9, 3, 1500};
   const std::string Bytes = writeRevisionMessage(Answer);
   EXPECT_EQ(Bytes.size(), RevisionMessageSizeWithRise);
@@ -448,37 +448,37 @@
     Nodes.push_back(std::make_unique<simulated_node>(
         Network, Store, instance(Number), std::vector<endpoint>{instance(1), instance(2)}, Random));
     Nodes.back()->Era.observe(1);
-    Nodes.back()->Era.join(Learner);
+    Nodes.back()->Era.join(Recorder);
     return *Nodes.back();
   }
-  struct learner final : era_listener {
+  struct rise_times final : era_listener {
     void onEraRose(std::uint64_t, std::uint64_t) override {}
-    void onRiseLearned(instant At) override { LearnedAt.push_back(At); }
-    std::vector<instant> LearnedAt;
+    void onRemoteRise(instant At) override { RoseAt.push_back(At); }
+    std::vector<instant> RoseAt;
   };
-  learner Learner;
+  rise_times Recorder;
   instant RoseAt{};
 };
 
 // Guards against a forwarder that takes the copy for current, although it lacks what the operator
 // is still to write again (review, case 9).
-TEST_F(starting_after_a_return, learnsOfTheRiseByTheFirstAnswer) {
+TEST_F(starting_after_a_return, receivesTheRiseWithTheFirstAnswer) {
   simulated_node &Started = start(50);
   Started.read();
   advance(seconds(1));
-  ASSERT_EQ(Learner.LearnedAt.size(), 1U);
-  EXPECT_LE(std::chrono::abs(Learner.LearnedAt.front() - RoseAt), milliseconds(500));
+  ASSERT_EQ(Recorder.RoseAt.size(), 1U);
+  EXPECT_LE(std::chrono::abs(Recorder.RoseAt.front() - RoseAt), milliseconds(500));
   Started.read();
   advance(seconds(1));
-  EXPECT_EQ(Learner.LearnedAt.size(), 1U);
+  EXPECT_EQ(Recorder.RoseAt.size(), 1U);
 }
 
 // Guards against the same of a forwarder that is a reader itself, which asks no other one later.
-TEST_F(starting_after_a_return, learnsOfTheRiseFromTheOtherReaderIfItIsOneItself) {
+TEST_F(starting_after_a_return, receivesTheRiseFromTheOtherReaderIfItIsOneItself) {
   simulated_node &Started = start(1);
   Started.read();
   advance(seconds(1));
-  EXPECT_EQ(Learner.LearnedAt.size(), 1U);
+  EXPECT_EQ(Recorder.RoseAt.size(), 1U);
   const std::size_t Questions = Started.Outcomes.size();
   Started.read();
   advance(seconds(1));
@@ -486,11 +486,11 @@
 }
 
 // Guards against a recovery time long after the rise.
-TEST_F(starting_after_a_return, isNotToldOfARiseThatIsLongAgo) {
+TEST_F(starting_after_a_return, receivesNoRiseThatIsLongAgo) {
   advance(seconds(10));
   start(50).read();
   advance(seconds(1));
-  EXPECT_TRUE(Learner.LearnedAt.empty());
+  EXPECT_TRUE(Recorder.RoseAt.empty());
 }
 
 // Guards against an answer of a reader that hasn't seen the rise.
--- a/tests/store/store_era_test.cpp
+++ b/tests/store/store_era_test.cpp
@@ -16,9 +16,9 @@
   void onEraRose(std::uint64_t Previous, std::uint64_t Era) override {
     Rises.emplace_back(Previous, Era);
   }
-  void onRiseLearned(instant RoseAt) override { Learned.push_back(RoseAt); }
+  void onRemoteRise(instant RoseAt) override { Reported.push_back(RoseAt); }
   std::vector<std::pair<std::uint64_t, std::uint64_t>> Rises;
-  std::vector<instant> Learned;
+  std::vector<instant> Reported;
 };
 
 // Guards against a comparison of revisions of different eras, which are given out again.
@@ -55,26 +55,26 @@
 
 // Guards against a recovery time that begins again with each answer of another process, or after a
 // rise that was seen here.
-TEST(the_era_of_a_store, isLearnedToHaveRisenOnce) {
+TEST(the_era_of_a_store, countsARiseThatAnotherProcessReportsOnce) {
   store_era Era;
   rise_recorder Recorder;
   Era.join(Recorder);
   const instant RoseAt{seconds(50)};
   Era.observe(3);
-  Era.learnRise(RoseAt);
-  Era.learnRise(RoseAt + seconds(1));
-  EXPECT_EQ(Recorder.Learned, std::vector<instant>{RoseAt});
+  Era.observeRemoteRise(RoseAt);
+  Era.observeRemoteRise(RoseAt + seconds(1));
+  EXPECT_EQ(Recorder.Reported, std::vector<instant>{RoseAt});
   Era.observe(4);
-  Era.learnRise(RoseAt + seconds(2));
-  EXPECT_EQ(Recorder.Learned.size(), 1U);
+  Era.observeRemoteRise(RoseAt + seconds(2));
+  EXPECT_EQ(Recorder.Reported.size(), 1U);
 }
 
 // Guards against resets by a proof of the copy in a process that has started since the return of
 // the store (review, case 9).
-TEST_F(watching_listed_objects, provesNothingOnceItLearnsOfTheRiseBeforeItsStart) {
+TEST_F(watching_listed_objects, provesNothingAfterARiseBeforeItsStartIsReported) {
   EXPECT_NE(Watcher.upToDateAt(), instant{});
   const instant RoseAt = Scheduler.Now - seconds(1);
-  Era.learnRise(RoseAt);
+  Era.observeRemoteRise(RoseAt);
   EXPECT_EQ(Listener.Events, std::vector<std::string>{"era rose"});
   EXPECT_EQ(Listener.RecoveryEnd, RoseAt + seconds(2));
   EXPECT_EQ(Watcher.upToDateAt(), instant{});
@@ -84,10 +84,10 @@
   EXPECT_EQ(Watcher.upToDateAt(), RoseAt + seconds(2));
 }
 
-// Guards against a recovery time that is over when this process learns of the rise.
+// Guards against a recovery time that is over when the rise is reported.
 TEST_F(watching_listed_objects, keepsItsProofIfTheRecoveryTimeIsOver) {
   const instant Proven = Watcher.upToDateAt();
-  Era.learnRise(Scheduler.Now - seconds(2));
+  Era.observeRemoteRise(Scheduler.Now - seconds(2));
   EXPECT_TRUE(Listener.Events.empty());
   EXPECT_EQ(Watcher.upToDateAt(), Proven);
 }
