--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/lab-3"
 mkdir -p bin
-for SOURCE in *.cpp; do
-  g++ -std=c++20 -O1 -Wall -Wextra -o "bin/${SOURCE%.cpp}" "$SOURCE"
+for SOURCE in *.cc; do
+  g++ -std=c++20 -O1 -Wall -Wextra -o "bin/${SOURCE%.cc}" "$SOURCE"
 done
--- a/review/lab-3/agent_entries.cpp
+++ b/review/lab-3/agent_entries.cc
@@ -1,5 +1,5 @@
 // An entry of another writer whose name ends in the id of a host.
-#include "lab.h"
+#include "lab.hpp"
 
 using namespace lab;
 
@@ -28,8 +28,8 @@
   LostRequests += Counted && !Flow.Pending.empty() ? 1 : 0;
   record("client flow=%s RESET by the system from=%s host=%s pending=%s counted=%d",
          text(address{Flow.Owner.Ip, Flow.Port}).c_str(), text(Sender).c_str(),
-         Counted ? (*Found)->Id.c_str() : "none", Flow.Pending.empty() ? "none" : Flow.Pending.c_str(),
-         Counted);
+         Counted ? (*Found)->Id.c_str() : "none",
+         Flow.Pending.empty() ? "none" : Flow.Pending.c_str(), Counted);
 }
 
 /// Sends a request, waits for the answer, pauses, and opens another flow when one ends.
@@ -53,6 +53,7 @@
     return 2;
   const bool Trouble = std::getenv("TROUBLE") == nullptr || string(std::getenv("TROUBLE")) != "0";
   prepare(Arguments[1]);
+  Deployment.Evacuations = true;
   const address StoreAddress{ip(4, 1), std::uint16_t(Deployment.Port + 5)};
   const address Service{ip(5, 1), 8443};
   const address Agent{ip(6, 1), std::uint16_t(Deployment.Port + 5)};
--- a/review/lab-3/foreign_entries.cpp
+++ b/review/lab-3/foreign_entries.cc
@@ -1,5 +1,5 @@
 // Entries of another writer among those of the hosts, of the largest size that the store takes.
-#include "lab.h"
+#include "lab.hpp"
 
 using namespace lab;
 
@@ -50,6 +50,8 @@
   const bool Trouble = std::getenv("TROUBLE") == nullptr || string(std::getenv("TROUBLE")) != "0";
   prepare(Arguments[1]);
   Deployment.MemoryMb = 182;
+  Deployment.ChangeMs = 3000;
+  Deployment.ContactMs = 4000;
   const address StoreAddress{ip(4, 1), std::uint16_t(Deployment.Port + 5)};
   const address Service{ip(5, 1), 8443};
   store Store(StoreAddress);
@@ -60,8 +62,8 @@
     Store.write("servers", Hosts.back()->Id, Hosts.back()->entry("ready"));
   }
   for (int I = 1; I <= MachineCount; ++I)
-    Machines.push_back(std::make_unique<machine>(I, "riga-a", "riga", StoreAddress,
-                                                 std::vector<int>{1, 2, 3}));
+    Machines.push_back(
+        std::make_unique<machine>(I, "riga-a", "riga", StoreAddress, std::vector<int>{1, 2, 3}));
   for (const auto &Machine : Machines)
     Machine->start();
   superviseAll();
@@ -71,8 +73,8 @@
     if (!Machine->Ready)
       unableToRun("a machine isn't ready");
   for (int I = 1; I <= 2; ++I) {
-    Clients.push_back(std::make_unique<client>(I, Service, Router,
-                                               [](client_flow &, const packet &, const address &) {}));
+    Clients.push_back(std::make_unique<client>(
+        I, Service, Router, [](client_flow &, const packet &, const address &) {}));
     for (int J = 0; J < 10; ++J)
       useFlow(*Clients.back());
   }
--- a/review/lab-3/idle_flows.cpp
+++ b/review/lab-3/idle_flows.cc
@@ -1,5 +1,5 @@
 // Idle flows of a host that was cut off for a moment, after a rolling restart of the machines.
-#include "lab.h"
+#include "lab.hpp"
 
 using namespace lab;
 
@@ -52,15 +52,16 @@
   LostRequests += Counted && !Flow.Pending.empty() ? 1 : 0;
   record("client flow=%s RESET by the system from=%s host=%s host_unimpaired=%d sender_in_touch=%d "
          "pending=%s counted=%d",
-         text(address{Flow.Owner.Ip, Flow.Port}).c_str(), From == nullptr ? "?" : From->Name.c_str(),
-         Host == nullptr ? "none" : Host->Id.c_str(), Host != nullptr && Host->unimpaired(Now),
-         From != nullptr && From->inTouch(Now), Flow.Pending.empty() ? "none" : Flow.Pending.c_str(),
-         Counted);
+         text(address{Flow.Owner.Ip, Flow.Port}).c_str(),
+         From == nullptr ? "?" : From->Name.c_str(), Host == nullptr ? "none" : Host->Id.c_str(),
+         Host != nullptr && Host->unimpaired(Now), From != nullptr && From->inTouch(Now),
+         Flow.Pending.empty() ? "none" : Flow.Pending.c_str(), Counted);
 }
 
 string nextRequest() { return "r" + std::to_string(++RequestNumber); }
 
-/// A busy user: sends a request, waits for the answer, pauses, and opens another flow when one ends.
+/// A busy user: sends a request, waits for the answer, pauses, and opens another flow when one
+/// ends.
 void useFlow(client &Client) {
   client_flow &Flow = Client.openFlow();
   const auto Next = [&Flow] {
@@ -74,7 +75,6 @@
   Flow.OnEnd = [&Client] { after(0.05, [&Client] { useFlow(Client); }); };
 }
 
-
 /// Users send a request on each of their flows and pause; meanwhile machines are restarted in turn,
 /// and hosts are cut off for a moment; then the users go on.
 void playRound(bool Trouble, int Round) {
@@ -138,6 +138,7 @@
     return 2;
   const bool Trouble = std::getenv("TROUBLE") == nullptr || string(std::getenv("TROUBLE")) != "0";
   prepare(Arguments[1]);
+  Deployment.Evacuations = true;
   const address StoreAddress{ip(4, 1), std::uint16_t(Deployment.Port + 5)};
   const address Service{ip(5, 1), 8443};
   store Store(StoreAddress);
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.hpp
@@ -76,8 +76,12 @@
   Descriptors[Descriptor] = {Events, std::move(Handler)};
 }
 inline void unwatch(int Descriptor) { Descriptors.erase(Descriptor); }
-inline void at(double Time, std::function<void()> Action) { Timers.emplace(Time, std::move(Action)); }
-inline void after(double Delay, std::function<void()> Action) { at(now() + Delay, std::move(Action)); }
+inline void at(double Time, std::function<void()> Action) {
+  Timers.emplace(Time, std::move(Action));
+}
+inline void after(double Delay, std::function<void()> Action) {
+  at(now() + Delay, std::move(Action));
+}
 
 inline void runUntil(double End) {
   while (now() < End) {
@@ -111,7 +115,9 @@
   std::uint16_t Port = 0;
   auto operator<=>(const address &) const = default;
 };
-inline std::uint32_t ip(int C, int D) { return 0x7f000000U | 77U << 16U | unsigned(C) << 8U | unsigned(D); }
+inline std::uint32_t ip(int C, int D) {
+  return 0x7f000000U | 77U << 16U | unsigned(C) << 8U | unsigned(D);
+}
 inline string text(std::uint32_t Ip) {
   const in_addr Address{htonl(Ip)};
   char Buffer[INET_ADDRSTRLEN];
@@ -153,9 +159,9 @@
       Hash = (Hash ^ Value) * 0x100000001b3U;
       Hash ^= Hash >> 29U;
     };
-    for (const std::uint64_t Value : {std::uint64_t(Flags), std::uint64_t(Seq), std::uint64_t(AckNo),
-                                      std::uint64_t(From.Ip), std::uint64_t(From.Port),
-                                      std::uint64_t(To.Ip), std::uint64_t(To.Port)})
+    for (const std::uint64_t Value :
+         {std::uint64_t(Flags), std::uint64_t(Seq), std::uint64_t(AckNo), std::uint64_t(From.Ip),
+          std::uint64_t(From.Port), std::uint64_t(To.Ip), std::uint64_t(To.Port)})
       Add(Value);
     for (const char C : Data)
       Add(static_cast<unsigned char>(C));
@@ -239,6 +245,11 @@
   static constexpr std::size_t MaxObjects = 500;
   static constexpr std::size_t MaxBytes = 1'000'000;
 
+  /// Watches are answered with all changes at once; the pages bound the answers to lists only.
+  bool UnboundedWatches = false;
+  /// Time for which changes are kept.
+  double HistoryTime = 20;
+
   explicit store(const address &Local) {
     Socket = openSocket(SOCK_STREAM, Local);
     if (Socket < 0 || listen(Socket, 64) != 0)
@@ -255,7 +266,7 @@
       Object.Created = Revision;
     Object.Spec = std::move(Spec);
     Object.Packed = pack(Name, Object);
-    History.push_back({Revision, Kind, Name, Object.Packed, false});
+    History.push_back({now(), Revision, Kind, Name, Object.Packed, false});
     record("store revision=%llu kind=%s name=%s", (unsigned long long)Revision, Kind.c_str(),
            Name.c_str());
     notify();
@@ -265,10 +276,10 @@
     if (Found == Objects[Kind].end())
       return;
     Found->second.Revision = ++Revision;
-    History.push_back({Revision, Kind, Name, pack(Name, Found->second), true});
+    History.push_back({now(), Revision, Kind, Name, pack(Name, Found->second), true});
     Objects[Kind].erase(Found);
-    record("store revision=%llu kind=%s name=%s removed", (unsigned long long)Revision, Kind.c_str(),
-           Name.c_str());
+    record("store revision=%llu kind=%s name=%s removed", (unsigned long long)Revision,
+           Kind.c_str(), Name.c_str());
     notify();
   }
 
@@ -279,6 +290,7 @@
     string Packed;
   };
   struct event {
+    double At = now();
     std::uint64_t Revision = 0;
     string Kind, Name, Packed;
     bool Deleted = false;
@@ -384,11 +396,20 @@
         Size += Object.Packed.size();
         Items.push_back(Object.Packed);
       }
-      reply(Client, "200 OK", body("items", Items, {{"has_more", More}, {"current_rev", Revision}}));
+      reply(Client, "200 OK",
+            body("items", Items, {{"has_more", More}, {"current_rev", Revision}}));
       return;
     }
     Connection.Kind = Kind;
     Connection.From = std::stoull(Query["watch"]);
+    while (!History.empty() && History.front().At + HistoryTime < now()) {
+      HistoryBegin = History.front().Revision;
+      History.pop_front();
+    }
+    if (Connection.From < HistoryBegin) {
+      reply(Client, "410 Gone", pack(json::object()));
+      return;
+    }
     if (answerWatch(Client, false))
       return;
     Connection.Waiting = true;
@@ -408,13 +429,14 @@
     for (const event &Event : History) {
       if (Event.Revision <= Connection.From || Event.Kind != Connection.Kind)
         continue;
-      if (!Events.empty() && Size + Event.Packed.size() > MaxBytes) {
+      if (!UnboundedWatches && !Events.empty() && Size + Event.Packed.size() > MaxBytes) {
         // The next watch continues before this event.
         Last = Event.Revision - 1;
         break;
       }
       Size += Event.Packed.size();
-      Events.push_back('\x82' + pack("object") + Event.Packed + pack("deleted") + pack(Event.Deleted));
+      Events.push_back('\x82' + pack("object") + Event.Packed + pack("deleted") +
+                       pack(Event.Deleted));
     }
     if (Events.empty() && !Due)
       return false;
@@ -463,6 +485,8 @@
   int Socket = -1;
   std::uint64_t Revision = 0;
   std::uint64_t WatchNumber = 0;
+  /// Revision of the last change that is no longer kept.
+  std::uint64_t HistoryBegin = 0;
   std::map<string, std::map<string, object>> Objects;
   std::deque<event> History;
   std::map<int, connection> Connections;
@@ -479,9 +503,9 @@
                       {"priority", 1},
                       {"service", ServiceName},
                       {"max_attempts", 2}};
-  const json ServiceEntry = {{"name", ServiceName}, {"health_path", "/health"}, {"max_conns", 3200},
-                             {"protocol", "h1"},    {"tls", false},             {"warmup_s", 2.0},
-                             {"warmup_per_s", 0.0}};
+  const json ServiceEntry = {
+      {"name", ServiceName}, {"health_path", "/health"}, {"max_conns", 3200},  {"protocol", "h1"},
+      {"tls", false},        {"warmup_s", 2.0},          {"warmup_per_s", 0.0}};
   const json Limits = {{"max_header_bytes", 16384},
                        {"max_body_bytes", 262144},
                        {"header_timeout_ms", 3000},
@@ -493,7 +517,8 @@
                {"limits", Limits}});
 }
 
-// --- Forwarders: the project's program, one process for each machine ------------------------------
+// --- Forwarders: the project's program, one process for each machine
+// ------------------------------
 
 struct deployment {
   /// First of the ports that are used on all addresses.
@@ -503,6 +528,10 @@
   string Program = "target/bin/briarpoint-forwarder";
   /// `contact_ms`, the time after which a machine or host counts as undisturbed again.
   int ContactMs = 5000;
+  /// `drain_ms` and `config_apply_ms`.
+  int ChangeMs = 5000;
+  /// Whether the settings have `evacuate_ms`, `warmup_excess` and `warmup_slack`.
+  bool Evacuations = false;
   /// Memory of a machine; 0 if it isn't limited.
   int MemoryMb = 0;
 };
@@ -510,7 +539,8 @@
 
 class machine {
 public:
-  machine(int Number, string Zone, string Region, const address &Store, const std::vector<int> &Seeds)
+  machine(int Number, string Zone, string Region, const address &Store,
+          const std::vector<int> &Seeds)
       : Number(Number), Name("front-" + std::to_string(Number)), Ip(ip(1, Number)) {
     SettingsFile = Deployment.Folder + "/" + Name + ".toml";
     const auto At = [&](int Offset) { return text({Ip, std::uint16_t(Deployment.Port + Offset)}); };
@@ -518,12 +548,19 @@
     File << "name = \"" << Name << "\"\ndata_centre = \"" << Zone << "\"\nregion = \"" << Region
          << "\"\nstore = \"" << text(Store) << "\"\nseeds = [";
     for (std::size_t I = 0; I < Seeds.size(); ++I)
-      File << (I == 0 ? "" : ",") << "\"" << text({ip(1, Seeds[I]), std::uint16_t(Deployment.Port + 4)})
-           << "\"";
-    File << "]\nshutdown_time = \"6s\"\nflow_lifetime = \"60s\"\ndrain_time = \"5000ms\"\n"
-         << "configuration_time = \"5000ms\"\nevacuation_time = \"5000ms\"\ncontact_time = \"" << Deployment.ContactMs
-         << "ms\"\nhistory_time = \"20s\"\n\n[listen]\npackets = \"" << At(0) << "\"\nreadiness = \""
-         << At(1) << "\"\noperator = \"" << At(2) << "\"\npeers = \"" << At(3) << "\"\n\n[warm_up]\nrate_factor = 1.5\nburst = 5\n";
+      File << (I == 0 ? "" : ",") << "\""
+           << text({ip(1, Seeds[I]), std::uint16_t(Deployment.Port + 4)}) << "\"";
+    const auto Ms = [](int Value) { return "\"" + std::to_string(Value) + "ms\"\n"; };
+    File << "]\nshutdown_time = \"6s\"\nflow_lifetime = \"60s\"\n"
+         << "drain_time = " << Ms(Deployment.ChangeMs)
+         << "configuration_time = " << Ms(Deployment.ChangeMs);
+    if (Deployment.Evacuations)
+      File << "evacuation_time = " << Ms(5000);
+    File << "contact_time = " << Ms(Deployment.ContactMs) << "history_time = \"20s\"\n\n[listen]\n"
+         << "packets = \"" << At(0) << "\"\nreadiness = \"" << At(1) << "\"\noperator = \"" << At(2)
+         << "\"\npeers = \"" << At(3) << "\"\n\n[warm_up]\n";
+    if (Deployment.Evacuations)
+      File << "rate_factor = 1.5\nburst = 5\n";
   }
   ~machine() { end(); }
 
@@ -549,8 +586,8 @@
     kill(Pid, Signal);
     DisturbedAt = now();
   }
-  /// Call it at an interval: kills a process that exceeds the machine's memory, and starts one again
-  /// that has ended.
+  /// Call it at an interval: kills a process that exceeds the machine's memory, and starts one
+  /// again that has ended.
   void supervise() {
     int Status = 0;
     if (const long PeakKb = Deployment.MemoryMb > 0 ? peakKb() : 0;
@@ -606,17 +643,20 @@
   int Misses = 0;
 };
 
-// --- Routers ----------------------------------------------------------------------------------------
+// --- Routers
+// ----------------------------------------------------------------------------------------
 
-/// Sends packets to the machines in rotation, by a hash under which only the flows of a machine move
-/// that leaves (`steady`).
+/// Sends packets to the machines in rotation, by a hash under which only the flows of a machine
+/// move that leaves (`steady`).
 class router {
 public:
-  explicit router(std::vector<std::unique_ptr<machine>> &Machines) : Machines(Machines) { probeAll(); }
+  explicit router(std::vector<std::unique_ptr<machine>> &Machines) : Machines(Machines) {
+    probeAll();
+  }
 
   machine *choose(const flow_key &Flow) const {
-    const auto InRotation = std::count_if(Machines.begin(), Machines.end(),
-                                          [](const auto &M) { return M->Ready; });
+    const auto InRotation =
+        std::count_if(Machines.begin(), Machines.end(), [](const auto &M) { return M->Ready; });
     const bool All = InRotation * 2 < static_cast<long>(Machines.size());
     machine *Best = nullptr;
     std::uint64_t BestWeight = 0;
@@ -624,8 +664,9 @@
       if (!All && !Machine->Ready)
         continue;
       std::uint64_t Hash = Machine->Ip * 0x9e3779b97f4a7c15U;
-      for (const std::uint64_t Value : {std::uint64_t(Flow.first.Ip), std::uint64_t(Flow.first.Port),
-                                        std::uint64_t(Flow.second.Ip), std::uint64_t(Flow.second.Port)}) {
+      for (const std::uint64_t Value :
+           {std::uint64_t(Flow.first.Ip), std::uint64_t(Flow.first.Port),
+            std::uint64_t(Flow.second.Ip), std::uint64_t(Flow.second.Port)}) {
         Hash = (Hash ^ Value) * 0xff51afd7ed558ccdU;
         Hash ^= Hash >> 32U;
       }
@@ -668,8 +709,8 @@
       int Error = 0;
       socklen_t Size = sizeof(Error);
       getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
-      const string Request = "GET /-/ready HTTP/1.1\r\nHost: " + text(Machine.Ip) +
-                             "\r\nConnection: close\r\n\r\n";
+      const string Request =
+          "GET /-/ready HTTP/1.1\r\nHost: " + text(Machine.Ip) + "\r\nConnection: close\r\n\r\n";
       if (Error != 0 || ::write(Socket, Request.data(), Request.size()) < 0) {
         Finish(false);
         return;
@@ -685,7 +726,8 @@
   std::vector<std::unique_ptr<machine>> &Machines;
 };
 
-// --- Retransmission ---------------------------------------------------------------------------------
+// --- Retransmission
+// ---------------------------------------------------------------------------------
 
 /// Repeats a packet after 200 ms, and doubles the interval up to 1.6 s.
 class repeater {
@@ -718,7 +760,8 @@
   std::shared_ptr<bool> Current;
 };
 
-// --- Hosts --------------------------------------------------------------------------------------------
+// --- Hosts
+// --------------------------------------------------------------------------------------------
 
 class host {
 public:
@@ -734,9 +777,10 @@
   };
 
   host(int Number, string Service, string Zone, int Slots, std::function<double()> Work)
-      : Id("i-" + hex(0x7f3a91c200ULL + Number * 7919ULL)), Identity(0x7f3a91c200ULL + Number * 7919ULL),
-        Service(std::move(Service)), Zone(std::move(Zone)), Slots(Slots), Work(std::move(Work)),
-        Address{ip(2, Number), std::uint16_t(Deployment.Port + 5)} {
+      : Id("i-" + hex(0x7f3a91c200ULL + Number * 7919ULL)),
+        Identity(0x7f3a91c200ULL + Number * 7919ULL), Service(std::move(Service)),
+        Zone(std::move(Zone)), Slots(Slots),
+        Work(std::move(Work)), Address{ip(2, Number), std::uint16_t(Deployment.Port + 5)} {
     Socket = openSocket(SOCK_DGRAM, Address);
     if (Socket < 0)
       unableToRun("a host's port isn't free");
@@ -744,9 +788,15 @@
   }
 
   json entry(const string &State) const {
-    return {{"service", Service},    {"address", text(Address)}, {"zone", Zone},
-            {"version", "v1"},       {"max_concurrency", Slots}, {"state", State},
-            {"warmup_left_ms", 0},   {"sequence", 1},            {"born", Born}};
+    return {{"service", Service},
+            {"address", text(Address)},
+            {"zone", Zone},
+            {"version", "v1"},
+            {"max_concurrency", Slots},
+            {"state", State},
+            {"warmup_left_ms", 0},
+            {"sequence", 1},
+            {"born", Born}};
   }
 
   bool holds(const flow_key &Key) const {
@@ -911,7 +961,8 @@
     const auto Send = [this, Key = Done.Key, Packet = Done.Packet, Seq] {
       const auto Again = Flows.find(Key);
       if (Again != Flows.end())
-        answer(Packet, Ack, Seq, Again->second.Expected, Again->second.Echo, Again->second.Response);
+        answer(Packet, Ack, Seq, Again->second.Expected, Again->second.Echo,
+               Again->second.Response);
     };
     Send();
     Flow.Repeat.start(Send, 8);
@@ -924,7 +975,8 @@
   std::deque<waiting> Queue;
 };
 
-// --- Clients --------------------------------------------------------------------------------------------
+// --- Clients
+// --------------------------------------------------------------------------------------------
 
 class client;
 
@@ -948,7 +1000,7 @@
   state State = state::Opening;
   std::uint32_t Isn = 0, Next = 0, Expected = 0, Echo = 0;
   int Unacknowledged = 0;
-  double OpenedAt = 0, LastPacketAt = 0, SentAt = 0;
+  double FirstSentAt = 0, OpenedAt = 0, LastPacketAt = 0, SentAt = 0;
   /// Request that waits for its answer; empty if there is none.
   string Pending;
   machine *LastMachine = nullptr;
@@ -967,7 +1019,8 @@
 public:
   client(int Number, const address &Service, router &Router,
          std::function<void(client_flow &, const packet &, const address &)> OnSystemReset)
-      : Ip(ip(3, Number)), Service(Service), Router(Router), OnSystemReset(std::move(OnSystemReset)) {
+      : Ip(ip(3, Number)), Service(Service), Router(Router),
+        OnSystemReset(std::move(OnSystemReset)) {
     Socket = openSocket(SOCK_DGRAM, {Ip, Deployment.Port});
     if (Socket < 0)
       unableToRun("a client's port isn't free");
@@ -1012,6 +1065,7 @@
 inline void client_flow::open() {
   Isn = static_cast<std::uint32_t>(Random());
   Next = Isn + 1;
+  FirstSentAt = now();
   auto Copies = std::make_shared<std::uint32_t>(0);
   transmit(Syn, Isn, 0, "");
   for (const double Delay : {0.2, 0.6})
@@ -1129,7 +1183,8 @@
     OnAnswer();
 }
 
-// --- The end of a run ----------------------------------------------------------------------------------
+// --- The end of a run
+// ----------------------------------------------------------------------------------
 
 inline std::vector<std::unique_ptr<machine>> Machines;
 
