--- a/fuzz/odd_entry_fuzz.cpp
+++ b/fuzz/odd_entry_fuzz.cpp
@@ -63,16 +63,19 @@
 
 /// Expects that the good entries beside an odd one are read from a list and from changes.
 void expectGoodEntriesBeside(const std::string &Odd) {
+  const object_parts Parts = platform::store_object_format().registrationParts();
   const list_answer List =
       platform::parseListAnswer(answer(R"({"items":[)" + Good + "," + Odd + "," + Good +
-                                       R"(],"has_more":true,)" + R"("current_rev":9})"));
+                                       R"(],"has_more":true,)" + R"("current_rev":9})"),
+                                Parts);
   if (List.Outcome != call_outcome::Done || List.Objects.size() != 3)
     std::abort();
   expectGood(List.Objects.front());
   expectGood(List.Objects.back());
   const watch_answer Watch = platform::parseWatchAnswer(
       answer(R"({"events":[{"deleted":false,"object":)" + Odd + R"(},{"deleted":false,"object":)" +
-             Good + R"(}],"current_rev":9})"));
+             Good + R"(}],"current_rev":9})"),
+      Parts);
   if (Watch.Outcome != call_outcome::Done || Watch.Changes.size() != 2)
     std::abort();
   expectGood(Watch.Changes.back().Object);
--- a/fuzz/store_answer_fuzz.cpp
+++ b/fuzz/store_answer_fuzz.cpp
@@ -35,10 +35,13 @@
                              200,
                              {{"content-type", Type}},
                              {reinterpret_cast<const char *>(Data), Size}};
-    for (const stored_object &Object : platform::parseListAnswer(Answer, Era).Objects)
-      Read(Object);
-    for (const object_change &Change : platform::parseWatchAnswer(Answer, Era).Changes)
-      Read(Change.Object);
+    for (const object_parts &Parts :
+         {Format.registrationParts(), Format.configurationParts(), Format.evacuationParts()}) {
+      for (const stored_object &Object : platform::parseListAnswer(Answer, Parts, Era).Objects)
+        Read(Object);
+      for (const object_change &Change : platform::parseWatchAnswer(Answer, Parts, Era).Changes)
+        Read(Change.Object);
+    }
   }
   return 0;
 }
--- a/src/config/document_builder.h
+++ b/src/config/document_builder.h
@@ -3,6 +3,7 @@
 
 #include "base/findings_error.h"
 #include "config/document_value.h"
+#include "config/json_syntax_finding.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,9 +11,10 @@
 
 namespace briarpoint {
 
-/// Builds a document_value from the events of nlohmann's or another parser. nlohmann::json isn't
-/// used as the document type because it silently keeps only the last of two fields with the same
-/// name.
+/// Builds a document_value from the events of nlohmann's parser, and reports fields that appear
+/// twice, objects with more than MaxFields fields, and nesting deeper than MaxDepth. nlohmann::json
+/// isn't used as the document type because it silently keeps only the last of two fields with the
+/// same name.
 class document_builder final : public nlohmann::json_sax<nlohmann::json> {
 public:
   /// Maximum nesting depth, above that of any configuration. Bounds recursion in the decoder.
@@ -21,16 +23,7 @@
   /// search for duplicates.
   static constexpr std::size_t MaxFields = 256;
 
-  enum class policy : std::uint8_t {
-    /// Reports fields that appear twice, objects with more than MaxFields fields, and nesting
-    /// deeper than MaxDepth.
-    Strict,
-    /// Accepts all of these. Values that are nested too deep are read as null.
-    Lenient,
-  };
-
-  document_builder(std::string_view Text, const std::string &Source, policy Policy)
-      : Text(Text), Source(Source), Policy(Policy) {}
+  document_builder(std::string_view Text, const std::string &Source) : Text(Text), Source(Source) {}
 
   bool null() override { return add(std::monostate{}); }
   bool boolean(bool Value) override { return add(Value); }
@@ -49,11 +42,6 @@
   bool end_array() override { return close(); }
 
   bool key(string_t &Name) override {
-    if (Policy == policy::Lenient) {
-      if (SkippedLevels == 0)
-        Open.back().FieldName = std::move(Name);
-      return true;
-    }
     const auto &Fields = std::get<document_value::table>(Open.back().Value.Content);
     if (Fields.size() >= MaxFields) {
       Findings.push_back({Source, 0, 0, "", "has an object of more than 256 fields"});
@@ -68,17 +56,7 @@
 
   bool parse_error(std::size_t Position, const std::string &LastToken,
                    const nlohmann::json::exception & /*Error*/) override {
-    const std::string_view Before = Text.substr(0, Position == 0 ? 0 : Position - 1);
-    const std::size_t LineStart = Before.rfind('\n');
-    const std::size_t Column =
-        Before.size() - (LineStart == std::string_view::npos ? 0 : LineStart + 1) + 1;
-    const auto Line = 1 + std::count(Before.begin(), Before.end(), '\n');
-    // The parser passes all text since the last accepted value.
-    constexpr std::size_t ShownLength = 40;
-    const std::size_t ShownStart = LastToken.size() - std::min(LastToken.size(), ShownLength);
-    Findings.push_back(
-        {Source, static_cast<std::uint32_t>(Line), static_cast<std::uint32_t>(Column), "",
-         "JSON syntax error near \"" + printable(LastToken.substr(ShownStart)) + "\""});
+    Findings.push_back(jsonSyntaxFinding(Source, Text, Position, LastToken));
     return false;
   }
 
@@ -96,15 +74,8 @@
     std::string FieldName;
   };
 
-  static std::string printable(std::string Token) {
-    std::replace_if(
-        Token.begin(), Token.end(), [](char C) { return C < ' ' || C > '~'; }, '?');
-    return Token;
-  }
-
   template <typename T> bool add(T &&Content) {
-    if (SkippedLevels == 0)
-      attach(document_value{std::forward<T>(Content)});
+    attach(document_value{std::forward<T>(Content)});
     return true;
   }
 
@@ -112,10 +83,6 @@
   bool open(document_value::array Array) { return push(document_value{std::move(Array)}); }
 
   bool push(document_value Value) {
-    if (Policy == policy::Lenient && Open.size() >= MaxDepth) {
-      ++SkippedLevels;
-      return true;
-    }
     if (Open.size() >= MaxDepth) {
       Findings.push_back({Source, 0, 0, "", "is nested more than 32 levels deep"});
       return false;
@@ -125,11 +92,6 @@
   }
 
   bool close() {
-    if (SkippedLevels > 0) {
-      if (--SkippedLevels == 0)
-        attach({});
-      return true;
-    }
     document_value Value = std::move(Open.back().Value);
     Open.pop_back();
     attach(std::move(Value));
@@ -152,9 +114,6 @@
 
   std::string_view Text;
   const std::string &Source;
-  policy Policy;
-  /// Number of open arrays and tables that are skipped because they are nested too deep.
-  std::size_t SkippedLevels = 0;
   document_value Root;
   std::vector<open_value> Open;
   std::vector<finding> Findings;
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -2,29 +2,29 @@
 
 #include "config/document_builder.h"
 #include "config/json_repair.h"
+#include "config/part_builder.h"
 
 namespace briarpoint {
 
-namespace {
-
-document_value read(std::string_view Text, const std::string &Source,
-                    document_builder::policy Policy) {
-  document_builder Builder(Text, Source, Policy);
+document_value readJson(std::string_view Text, const std::string &Source) {
+  document_builder Builder(Text, Source);
   nlohmann::json::sax_parse(Text, &Builder);
   return Builder.finish();
 }
 
-} // namespace
-
-document_value readJson(std::string_view Text, const std::string &Source) {
-  return read(Text, Source, document_builder::policy::Strict);
-}
-
-document_value readLenientJson(std::string_view Text, const std::string &Source) {
+document_value readJsonParts(std::string_view Text, const std::string &Source,
+                             const document_parts &Parts, element_receiver *Receiver) {
+  const auto Read = [&](std::string_view Content) {
+    if (Receiver != nullptr)
+      Receiver->begin();
+    part_builder Builder(Content, Source, Parts, Receiver);
+    nlohmann::json::sax_parse(Content, &Builder);
+    return Builder.finish();
+  };
   try {
-    return read(Text, Source, document_builder::policy::Lenient);
+    return Read(Text);
   } catch (const findings_error &) {
-    return read(repairJson(Text), Source, document_builder::policy::Lenient);
+    return Read(repairJson(Text));
   }
 }
 
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -1,7 +1,7 @@
 #ifndef BRIARPOINT_CONFIG_JSON_READER_H
 #define BRIARPOINT_CONFIG_JSON_READER_H
 
-#include "config/document_value.h"
+#include "config/document_parts.h"
 
 #include <string_view>
 
@@ -12,12 +12,13 @@
 /// more than 32 levels, or an object of more than 256 fields.
 document_value readJson(std::string_view Text, const std::string &Source);
 
-/// Reads JSON text written by other programs, which may hold more than is needed here: a field may
-/// appear twice in an object, objects may have any number of fields, and values below the 32nd
-/// level are read as null. So are numbers beyond the range of double and words that are no JSON
-/// literals; bytes that are not valid in a string are read as question marks (repairJson()).
+/// Reads the parts of JSON text that another program wrote. Numbers beyond the range of double and
+/// words that are no JSON literals are read as null, bytes that are not valid in a string as
+/// question marks (repairJson()). \p Receiver gets the elements of lists in the root table, unless
+/// it is nullptr.
 /// \throws findings_error for a syntax error in the structure of arrays and objects.
-document_value readLenientJson(std::string_view Text, const std::string &Source);
+document_value readJsonParts(std::string_view Text, const std::string &Source,
+                             const document_parts &Parts, element_receiver *Receiver = nullptr);
 
 } // namespace briarpoint
 
--- a/src/config/msgpack_reader.cpp
+++ b/src/config/msgpack_reader.cpp
@@ -1,113 +1,93 @@
 #include "config/msgpack_reader.h"
 
-#include "config/document_builder.h"
-
-#include <msgpack.hpp>
+#include "config/msgpack_cursor.h"
+#include "config/part_builder.h"
 
 namespace briarpoint {
 
 namespace {
 
-/// Passes the events of msgpack's parser, which does not recurse, to a document_builder.
-class msgpack_visitor final : public msgpack::null_visitor {
+/// Passes the values that a part_builder wants from a msgpack_cursor to it. The depth of the
+/// recursion is that of the document_parts.
+class msgpack_part_parser {
 public:
-  explicit msgpack_visitor(document_builder &Builder) : Builder(Builder) {}
+  msgpack_part_parser(msgpack_cursor &Cursor, part_builder &Builder)
+      : Cursor(Cursor), Builder(Builder) {}
 
-  bool visit_nil() {
-    return value([this] { return Builder.null(); });
-  }
-  bool visit_boolean(bool Value) {
-    return value([this, Value] { return Builder.boolean(Value); });
-  }
-  bool visit_positive_integer(std::uint64_t Value) {
-    return value([this, Value] { return Builder.number_unsigned(Value); });
-  }
-  bool visit_negative_integer(std::int64_t Value) {
-    return value([this, Value] { return Builder.number_integer(Value); });
-  }
-  bool visit_float32(float Value) {
-    return value([this, Value] { return Builder.number_float(Value, {}); });
-  }
-  bool visit_float64(double Value) {
-    return value([this, Value] { return Builder.number_float(Value, {}); });
-  }
-  bool visit_str(const char *Text, std::uint32_t Size) {
-    std::string String(Text, Size);
-    if (InKey && KeyDepth == 0) {
-      KeySeen = true;
-      return Builder.key(String);
+  /// Returns false if the bytes end within the value or are not MessagePack.
+  bool parseValue() {
+    if (!Builder.wantsNext())
+      return Cursor.skip();
+    msgpack_head Head;
+    if (!Cursor.read(Head))
+      return false;
+    switch (Head.Type) {
+    case msgpack_head::type::Boolean:
+      return Builder.boolean(Head.Number != 0);
+    case msgpack_head::type::Unsigned:
+      return Builder.number_unsigned(Head.Number);
+    case msgpack_head::type::Negative:
+      return Builder.number_integer(static_cast<std::int64_t>(Head.Number));
+    case msgpack_head::type::Float:
+      return Builder.number_float(Head.Float, {});
+    case msgpack_head::type::Text:
+      return Builder.text(Head.Text);
+    case msgpack_head::type::Nil:
+    case msgpack_head::type::Bytes:
+      return Builder.null();
+    case msgpack_head::type::Array:
+      return parseArray(Head.Count);
+    case msgpack_head::type::Map:
+      return parseMap(Head.Count);
     }
-    return value([&] { return Builder.string(String); });
+    return false;
   }
-  bool visit_bin(const char * /*Bytes*/, std::uint32_t /*Size*/) { return visit_nil(); }
-  bool visit_ext(const char * /*Bytes*/, std::uint32_t /*Size*/) { return visit_nil(); }
 
-  bool start_array(std::uint32_t Size) {
-    return open([&] { return Builder.start_array(Size); });
-  }
-  bool end_array() {
-    return close([this] { return Builder.end_array(); });
-  }
-  bool start_map(std::uint32_t Size) {
-    return open([&] { return Builder.start_object(Size); });
-  }
-  bool end_map() {
-    return close([this] { return Builder.end_object(); });
-  }
-  bool start_map_key() {
-    if (!InKey) {
-      InKey = true;
-      KeySeen = false;
-    }
-    return true;
-  }
-  bool end_map_key() {
-    if (KeyDepth > 0)
-      return true;
-    InKey = false;
-    std::string Unnamed;
-    return KeySeen || Builder.key(Unnamed);
+private:
+  bool parseArray(std::uint32_t Count) {
+    Builder.start_array(Count);
+    for (std::uint32_t I = 0; I < Count; ++I)
+      if (!parseValue())
+        return false;
+    return Builder.end_array();
   }
 
-private:
-  /// Values within a name are skipped.
-  template <typename T> bool value(T &&Add) { return InKey || Add(); }
-  template <typename T> bool open(T &&Start) {
-    if (!InKey)
-      return Start();
-    ++KeyDepth;
-    return true;
+  bool parseMap(std::uint32_t Count) {
+    Builder.start_object(Count);
+    for (std::uint32_t I = 0; I < Count; ++I)
+      if (!parseName() || !parseValue())
+        return false;
+    return Builder.end_object();
   }
-  template <typename T> bool close(T &&End) {
-    if (!InKey)
-      return End();
-    --KeyDepth;
-    return true;
+
+  /// A name may be a value of any type.
+  bool parseName() {
+    const msgpack_cursor Start = Cursor;
+    msgpack_head Head;
+    if (!Cursor.read(Head))
+      return false;
+    if (Head.Type == msgpack_head::type::Text)
+      return Builder.name(Head.Text);
+    Cursor = Start;
+    return Builder.name("") && Cursor.skip();
   }
 
-  document_builder &Builder;
-  bool InKey = false;
-  bool KeySeen = false;
-  /// Number of open arrays and maps within a name.
-  std::size_t KeyDepth = 0;
+  msgpack_cursor &Cursor;
+  part_builder &Builder;
 };
 
 } // namespace
 
-document_value readLenientMsgpack(std::string_view Bytes, const std::string &Source) {
-  document_builder Builder(Bytes, Source, document_builder::policy::Lenient);
-  msgpack_visitor Visitor(Builder);
-  std::size_t Offset = 0;
-  bool Complete = false;
-  try {
-    Complete = msgpack::parse(Bytes.data(), Bytes.size(), Offset, Visitor);
-  } catch (const msgpack::unpack_error &) {
-    // Complete stays false.
-  }
-  if (!Complete || Offset != Bytes.size())
+document_value readMsgpackParts(std::string_view Bytes, const std::string &Source,
+                                const document_parts &Parts, element_receiver *Receiver) {
+  if (Receiver != nullptr)
+    Receiver->begin();
+  part_builder Builder(Bytes, Source, Parts, Receiver);
+  msgpack_cursor Cursor(Bytes);
+  if (!msgpack_part_parser(Cursor, Builder).parseValue() || Cursor.position() != Bytes.size())
     throw findings_error({{Source, 0, 0, "",
-                           "MessagePack syntax error at byte " + std::to_string(Offset) + " of " +
-                               std::to_string(Bytes.size())}});
+                           "MessagePack syntax error at byte " + std::to_string(Cursor.position()) +
+                               " of " + std::to_string(Bytes.size())}});
   return Builder.finish();
 }
 
--- a/src/forward/object_format.h
+++ b/src/forward/object_format.h
@@ -4,6 +4,7 @@
 #include "forward/routing_configuration.h"
 #include "forward/target_registration.h"
 #include "store/object_api.h"
+#include "store/object_parts.h"
 
 #include <string>
 
@@ -22,6 +23,11 @@
   /// Kind of the objects with which operators evacuate data centres.
   virtual std::string evacuationKind() const = 0;
 
+  /// What is read of the objects of each kind.
+  virtual object_parts registrationParts() const = 0;
+  virtual object_parts configurationParts() const = 0;
+  virtual object_parts evacuationParts() const = 0;
+
   /// \throws findings_error with all faults of the object.
   virtual target_registration parseRegistration(const stored_object &Object) const = 0;
   /// Routes and services that can't be read are listed as refused.
--- a/src/forward/routing_configuration.h
+++ b/src/forward/routing_configuration.h
@@ -10,7 +10,7 @@
 struct refused_route {
   /// Empty if it can't be read, either.
   std::string Name;
-  /// The first error in it.
+  /// The first error in it; empty if many parts were refused before.
   std::string Finding;
 
   auto operator<=>(const refused_route &) const = default;
@@ -30,7 +30,7 @@
 struct refused_service {
   /// Empty if it can't be read, either.
   std::string Name;
-  /// The first error in it.
+  /// The first error in it; empty if many parts were refused before.
   std::string Finding;
 
   auto operator<=>(const refused_service &) const = default;
--- a/src/forwarder/route_listener.cpp
+++ b/src/forwarder/route_listener.cpp
@@ -59,11 +59,15 @@
   const std::string Version = std::to_string(Configuration.Version);
   for (const refused_route &Refused : Configuration.RefusedRoutes) {
     ++Counters.RefusedRoutes;
+    if (Refused.Finding.empty())
+      continue;
     Log.write(log_event::RouteRefused,
               {{"route", Refused.Name}, {"finding", Refused.Finding}, {"version", Version}});
   }
   for (const refused_service &Refused : Configuration.RefusedServices) {
     ++Counters.RefusedServices;
+    if (Refused.Finding.empty())
+      continue;
     Log.write(log_event::ServiceRefused,
               {{"service", Refused.Name}, {"finding", Refused.Finding}, {"version", Version}});
   }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -32,6 +32,20 @@
   return Text;
 }
 
+/// Moves the content out of a buffer. Each part of the buffer is freed before the next one is
+/// copied, so that a large content isn't in memory twice.
+std::string takeContent(evbuffer *Buffer) {
+  std::string Content;
+  Content.reserve(evbuffer_get_length(Buffer));
+  while (const std::size_t Size = evbuffer_get_contiguous_space(Buffer)) {
+    Content.append(
+        reinterpret_cast<const char *>(evbuffer_pullup(Buffer, static_cast<ev_ssize_t>(Size))),
+        Size);
+    evbuffer_drain(Buffer, Size);
+  }
+  return Content;
+}
+
 http_answer readAnswer(evhttp_request *Request) {
   http_answer Answer;
   // libevent passes a request with status 0 if no connection could be established, and a null
@@ -48,9 +62,7 @@
   for (const evkeyval *Header = Headers->tqh_first; Header != nullptr;
        Header = Header->next.tqe_next)
     Answer.Headers[lowerCase(Header->key)] = Header->value;
-  evbuffer *Body = evhttp_request_get_input_buffer(Request);
-  Answer.Body.resize(evbuffer_get_length(Body));
-  evbuffer_remove(Body, Answer.Body.data(), Answer.Body.size());
+  Answer.Body = takeContent(evhttp_request_get_input_buffer(Request));
   return Answer;
 }
 
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -5,7 +5,6 @@
 #include "config/document_value.h"
 #include "store/store_position.h"
 
-#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -17,14 +16,16 @@
 
 /// An object of the platform's store.
 struct stored_object {
+  /// Cut if it is longer than any name that is used.
   std::string Name;
   /// Revision of the store at which the object was created.
   std::uint64_t Created = 0;
   /// Revision of the store at which the object was last changed.
   std::uint64_t Revision = 0;
+  /// The parts of the value that are needed.
   document_value Value;
-  /// Why the store's own fields of the object can't be read, in which case Name may be empty and
-  /// the other fields are unset; empty if they can.
+  /// Why the object can't be read, in which case Name may be empty and the other fields may be
+  /// unset; empty if it can.
   std::string Defect = {};
 };
 
@@ -80,6 +81,9 @@
   std::uint64_t Revision = 0;
   /// The store's era, also if the history is gone.
   std::uint64_t Era = 0;
+  /// Name of the last object whose name can be read, after which the next page begins. It is
+  /// complete even if the object's own is cut.
+  std::string LastName = {};
 
   store_position position() const { return {Era, Revision}; }
 };
@@ -95,14 +99,6 @@
   store_position position() const { return {Era, Revision}; }
 };
 
-/// Returns the name after which the next page of a list begins: that of the last object whose name
-/// can be read, or an empty text.
-inline std::string lastName(const std::vector<stored_object> &Objects) {
-  const auto Found = std::find_if(Objects.rbegin(), Objects.rend(),
-                                  [](const stored_object &Object) { return !Object.Name.empty(); });
-  return Found == Objects.rend() ? std::string() : Found->Name;
-}
-
 /// Reads objects of the platform's store. At most one list or watch and one check may be in
 /// progress at a time. Each callback runs once, from the event loop, never from within the call.
 /// Destroying the object drops its calls.
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -89,11 +89,12 @@
             0, duration::zero());
   ++(ListConsistency == read_consistency::Stale ? Counters.StaleLists : Counters.Lists);
   if (ListedObjects.empty()) {
+    LastListedName.clear();
     ListBeganAt = Call.SentAt;
     HasStalePage = false;
   }
   HasStalePage = HasStalePage || ListConsistency == read_consistency::Stale;
-  Api.list(Kind, lastName(ListedObjects), ListConsistency,
+  Api.list(Kind, LastListedName, ListConsistency,
            [this](list_answer Answer) { finishList(std::move(Answer)); });
   if (Position.Revision != 0) {
     startCheck();
@@ -316,6 +317,7 @@
   // the first one unless the pages are stale.
   OldestPage = ListedObjects.empty() ? Answer.position() : std::min(OldestPage, Answer.position());
   std::move(Answer.Objects.begin(), Answer.Objects.end(), std::back_inserter(ListedObjects));
+  LastListedName = std::move(Answer.LastName);
   handleSuccess();
   if (Answer.HasMore && !Answer.Objects.empty()) {
     startList();
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -182,6 +182,8 @@
   read_consistency ListConsistency;
   /// Objects of all pages read so far of the list in progress.
   std::vector<stored_object> ListedObjects;
+  /// Name after which the next page begins; empty before the first one.
+  std::string LastListedName;
   /// Lowest position of these pages.
   store_position OldestPage;
   /// When the call for the first of these pages was sent.
--- a/tests/platform_adapter/http_object_api_test.cpp
+++ b/tests/platform_adapter/http_object_api_test.cpp
@@ -141,10 +141,10 @@
 // it.
 TEST(store_eras, arePassedOnWithEachAnswer) {
   const http_answer Gone{http_answer::outcome::Answered, 410, {}, ""};
-  EXPECT_EQ(parseWatchAnswer(Gone, 6).Era, 6U);
+  EXPECT_EQ(parseWatchAnswer(Gone, {}, 6).Era, 6U);
   const http_answer List{
       http_answer::outcome::Answered, 200, {}, R"({"items":[],"has_more":false,"current_rev":3})"};
-  EXPECT_EQ(parseListAnswer(List, 6).position(), (store_position{6, 3}));
+  EXPECT_EQ(parseListAnswer(List, {}, 6).position(), (store_position{6, 3}));
 }
 
 // Guards against a stand-in or an adapter that hides the return of the store from a copy: a watch
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -48,19 +48,23 @@
   }
   void list(const std::string &Items) {
     Registrations.onList(
-        parseListAnswer(answer(R"({"items":[)" + Items + R"(],"has_more":false,"current_rev":6})"))
+        parseListAnswer(answer(R"({"items":[)" + Items + R"(],"has_more":false,"current_rev":6})"),
+                        Format.registrationParts())
             .Objects,
         {0, 6});
   }
   void change(const std::string &Events) {
     Registrations.onChanges(
-        parseWatchAnswer(answer(R"({"events":[)" + Events + R"(],"current_rev":7})")).Changes,
+        parseWatchAnswer(answer(R"({"events":[)" + Events + R"(],"current_rev":7})"),
+                         Format.registrationParts())
+            .Changes,
         {0, 7});
   }
   void configure(const std::string &Spec) {
     Configuration.onList(
         parseListAnswer(answer(R"({"items":[{"meta":{"name":"main","revision":5},"spec":)" + Spec +
-                               R"(}],"has_more":false,"current_rev":6})"))
+                               R"(}],"has_more":false,"current_rev":6})"),
+                        Format.configurationParts())
             .Objects,
         {0, 6});
   }
@@ -171,7 +175,9 @@
     configure(R"({"version":)" + std::to_string(++Version) + R"(,"routes":[]})");
     ASSERT_TRUE(Routes.isCurrentAsOf(Earlier));
     Configuration.onChanges(
-        parseWatchAnswer(answer(R"({"events":[)" + event(Odd) + R"(],"current_rev":7})")).Changes,
+        parseWatchAnswer(answer(R"({"events":[)" + event(Odd) + R"(],"current_rev":7})"),
+                         Format.registrationParts())
+            .Changes,
         {0, 7});
     EXPECT_FALSE(Routes.isCurrentAsOf(Earlier));
     EXPECT_EQ(Counters.RefusedConfigurations, 1U);
@@ -188,13 +194,16 @@
   }
   void listEvacuations(const std::string &Items) {
     Listener.onList(
-        parseListAnswer(answer(R"({"items":[)" + Items + R"(],"has_more":false,"current_rev":9})"))
+        parseListAnswer(answer(R"({"items":[)" + Items + R"(],"has_more":false,"current_rev":9})"),
+                        Format.evacuationParts())
             .Objects,
         {0, 9});
   }
   void changeEvacuations(const std::string &Events) {
     Listener.onChanges(
-        parseWatchAnswer(answer(R"({"events":[)" + Events + R"(],"current_rev":10})")).Changes,
+        parseWatchAnswer(answer(R"({"events":[)" + Events + R"(],"current_rev":10})"),
+                         Format.evacuationParts())
+            .Changes,
         {0, 10});
   }
   std::string evacuated() const {
@@ -304,7 +313,8 @@
                    std::to_string(Version) + R"(,"routes":[{"name":")" + Route +
                    R"(","hostname":")" + Address +
                    R"(","path_prefix":"/443/","service":"s"}]}}],)" +
-                   R"("has_more":false,"current_rev":6})"))
+                   R"("has_more":false,"current_rev":6})"),
+            Format.configurationParts())
             .Objects,
         {Era, 6});
   }
--- a/tests/platform_adapter/store_object_format_test.cpp
+++ b/tests/platform_adapter/store_object_format_test.cpp
@@ -220,7 +220,10 @@
       A.Content);
 }
 
-class store_answers : public testing::Test {};
+class store_answers : public testing::Test {
+protected:
+  const object_parts Parts = store_object_format().registrationParts();
+};
 
 // Guards against treating an answer that can't be parsed as an empty list.
 TEST_F(store_answers, thatCannotBeParsedAreMalformed) {
@@ -229,22 +232,22 @@
         R"({"items":{},"has_more":false,"current_rev":1})", R"({"items":[],"has_more":false})",
         R"({"items":[],"has_more":1,"current_rev":1})"}) {
     SCOPED_TRACE(Body);
-    EXPECT_EQ(parseListAnswer(answer(200, Body)).Outcome, call_outcome::Malformed);
+    EXPECT_EQ(parseListAnswer(answer(200, Body), Parts).Outcome, call_outcome::Malformed);
   }
   for (const char *Body :
        {"", R"({"events":[]})", R"({"events":{"deleted":true},"current_rev":1})"}) {
     SCOPED_TRACE(Body);
-    EXPECT_EQ(parseWatchAnswer(answer(200, Body)).Outcome, call_outcome::Malformed);
+    EXPECT_EQ(parseWatchAnswer(answer(200, Body), Parts).Outcome, call_outcome::Malformed);
   }
 }
 
 // Guards against a status of the store that is reported with the wrong outcome.
 TEST_F(store_answers, distinguishRefusalsFromMissingAnswers) {
-  EXPECT_EQ(parseListAnswer({}).Outcome, call_outcome::Unanswered);
-  EXPECT_EQ(parseListAnswer(answer(503, "")).Outcome, call_outcome::Refused);
-  EXPECT_EQ(parseListAnswer(answer(429, "")).Outcome, call_outcome::Refused);
-  EXPECT_EQ(parseWatchAnswer(answer(410, "")).Outcome, call_outcome::HistoryGone);
-  EXPECT_EQ(parseWatchAnswer(answer(404, "")).Outcome, call_outcome::Malformed);
+  EXPECT_EQ(parseListAnswer({}, Parts).Outcome, call_outcome::Unanswered);
+  EXPECT_EQ(parseListAnswer(answer(503, ""), Parts).Outcome, call_outcome::Refused);
+  EXPECT_EQ(parseListAnswer(answer(429, ""), Parts).Outcome, call_outcome::Refused);
+  EXPECT_EQ(parseWatchAnswer(answer(410, ""), Parts).Outcome, call_outcome::HistoryGone);
+  EXPECT_EQ(parseWatchAnswer(answer(404, ""), Parts).Outcome, call_outcome::Malformed);
 }
 
 // Guards against one malformed entry that hides the others. The parser of the entry's kind
@@ -253,7 +256,8 @@
   const list_answer Answer = parseListAnswer(answer(200, R"({"items":[
       {"meta":{"name":"i-1","revision":4,"created":2},"spec":"garbage"},
       {"meta":{"name":"i-2","revision":5,"created":3},"spec":{"a":1,"a":2}},
-      {"meta":{"name":"i-3","revision":6,"created":3}}],"has_more":true,"current_rev":8})"));
+      {"meta":{"name":"i-3","revision":6,"created":3}}],"has_more":true,"current_rev":8})"),
+                                             Parts);
   ASSERT_EQ(Answer.Outcome, call_outcome::Done);
   EXPECT_EQ(Answer.Objects.size(), 3U);
   EXPECT_TRUE(Answer.HasMore);
@@ -304,15 +308,16 @@
                               R"(},{"deleted":false,"object":)" + object("i-3", Good) +
                               R"(}],"current_rev":8})";
   store_object_format Format;
+  const object_parts Parts = Format.registrationParts();
 };
 
 // Guards against one writer's entry that hides the others, in a list or among changes: a process
 // would follow none of them as long as it exists.
 TEST_P(odd_entries, leaveTheOthersReadable) {
-  const list_answer Listed = parseListAnswer(answer(200, List));
+  const list_answer Listed = parseListAnswer(answer(200, List), Parts);
   ASSERT_EQ(Listed.Outcome, call_outcome::Done);
   expectGoodEntries(Listed.Objects);
-  const watch_answer Watched = parseWatchAnswer(answer(200, Changes));
+  const watch_answer Watched = parseWatchAnswer(answer(200, Changes), Parts);
   ASSERT_EQ(Watched.Outcome, call_outcome::Done);
   expectGoodEntries(objectsOf(Watched));
 }
@@ -352,16 +357,18 @@
         R"({"meta":{"name":"i-1","revision":1,"created":"x"}})"}) {
     SCOPED_TRACE(Odd);
     const list_answer List = parseListAnswer(
-        answer(200, R"({"items":[)" + Good + "," + Odd + R"(],"has_more":true,"current_rev":8})"));
+        answer(200, R"({"items":[)" + Good + "," + Odd + R"(],"has_more":true,"current_rev":8})"),
+        Parts);
     ASSERT_EQ(List.Outcome, call_outcome::Done);
     ASSERT_EQ(List.Objects.size(), 2U);
     EXPECT_TRUE(List.Objects[0].Defect.empty());
     EXPECT_FALSE(List.Objects[1].Defect.empty());
     EXPECT_THROW(store_object_format().parseRegistration(List.Objects[1]), findings_error);
-    EXPECT_FALSE(lastName(List.Objects).empty());
+    EXPECT_EQ(List.LastName, List.Objects[1].Name.empty() ? "i-9" : List.Objects[1].Name);
     const watch_answer Watch = parseWatchAnswer(
         answer(200, R"({"events":[{"deleted":false,"object":)" + std::string(Odd) +
-                        R"(},{"deleted":false,"object":)" + Good + R"(}],"current_rev":8})"));
+                        R"(},{"deleted":false,"object":)" + Good + R"(}],"current_rev":8})"),
+        Parts);
     ASSERT_EQ(Watch.Changes.size(), 2U);
     EXPECT_FALSE(Watch.Changes[0].Object.Defect.empty());
     EXPECT_TRUE(Watch.Changes[1].Object.Defect.empty());
@@ -369,18 +376,21 @@
     const nlohmann::json Value = nlohmann::json::parse(Odd, nullptr, false);
     if (Value.is_discarded())
       continue;
-    const watch_answer Packed = parseWatchAnswer(packedAnswer(
-        nlohmann::json({{"events",
-                         {{{"deleted", false}, {"object", Value}},
-                          {{"deleted", false}, {"object", nlohmann::json::parse(Good)}}}},
-                        {"current_rev", 8}})));
+    const watch_answer Packed =
+        parseWatchAnswer(packedAnswer(nlohmann::json(
+                             {{"events",
+                               {{{"deleted", false}, {"object", Value}},
+                                {{"deleted", false}, {"object", nlohmann::json::parse(Good)}}}},
+                              {"current_rev", 8}})),
+                         Parts);
     ASSERT_EQ(Packed.Changes.size(), 2U);
     EXPECT_FALSE(Packed.Changes[0].Object.Defect.empty());
     EXPECT_TRUE(Packed.Changes[1].Object.Defect.empty());
   }
   const watch_answer Watch = parseWatchAnswer(
       answer(200, R"({"events":[7,{"deleted":true},{"object":)" + Good +
-                      R"(},{"deleted":true,"object":)" + Good + R"(}],"current_rev":8})"));
+                      R"(},{"deleted":true,"object":)" + Good + R"(}],"current_rev":8})"),
+      Parts);
   ASSERT_EQ(Watch.Changes.size(), 4U);
   for (std::size_t I = 0; I < 3; ++I)
     EXPECT_FALSE(Watch.Changes[I].Object.Defect.empty()) << I;
@@ -393,14 +403,18 @@
       {"meta":{"name":"i-1","revision":4,"created":2,"finalizers":[],"deleting":false},
        "spec":{"service":"a","slots":2,"load":0.5,"offset":-3,"none":null,"on":true}}],
       "has_more":false,"current_rev":18446744073709551615})";
-  const list_answer FromText = parseListAnswer(answer(200, Text));
-  const list_answer FromPacked = parseListAnswer(packedAnswer(nlohmann::json::parse(Text)));
+  object_parts All;
+  for (const char *Name : {"service", "slots", "load", "offset", "none", "on"})
+    All.Value.Fields.push_back({Name});
+  const list_answer FromText = parseListAnswer(answer(200, Text), All);
+  const list_answer FromPacked = parseListAnswer(packedAnswer(nlohmann::json::parse(Text)), All);
   ASSERT_EQ(FromPacked.Outcome, call_outcome::Done);
   EXPECT_EQ(FromPacked.Revision, FromText.Revision);
   ASSERT_EQ(FromPacked.Objects.size(), 1U);
   EXPECT_EQ(FromPacked.Objects[0].Name, FromText.Objects[0].Name);
   const auto &Fields = std::get<document_value::table>(FromPacked.Objects[0].Value.Content);
   const auto &Expected = std::get<document_value::table>(FromText.Objects[0].Value.Content);
+  ASSERT_EQ(Fields.size(), All.Value.Fields.size());
   ASSERT_EQ(Fields.size(), Expected.size());
   for (std::size_t I = 0; I < Fields.size(); ++I)
     EXPECT_TRUE(std::any_of(Expected.begin(), Expected.end(), [&](const document_field &Field) {
@@ -412,15 +426,16 @@
 TEST_F(store_answers, inMessagePackThatAreCutOffAreMalformed) {
   const std::vector<std::uint8_t> Body = nlohmann::json::to_msgpack(
       nlohmann::json::parse(R"({"items":[],"has_more":false,"current_rev":7})"));
-  ASSERT_EQ(parseListAnswer(packedAnswer(Body)).Outcome, call_outcome::Done);
+  ASSERT_EQ(parseListAnswer(packedAnswer(Body), Parts).Outcome, call_outcome::Done);
   for (std::size_t Size = 0; Size < Body.size(); ++Size) {
     SCOPED_TRACE(Size);
-    EXPECT_EQ(parseListAnswer(packedAnswer(std::vector(Body.begin(), Body.begin() + Size))).Outcome,
+    EXPECT_EQ(parseListAnswer(packedAnswer(std::vector(Body.begin(), Body.begin() + Size)), Parts)
+                  .Outcome,
               call_outcome::Malformed);
   }
   std::vector<std::uint8_t> Longer = Body;
   Longer.push_back(0xc0);
-  EXPECT_EQ(parseListAnswer(packedAnswer(Longer)).Outcome, call_outcome::Malformed);
+  EXPECT_EQ(parseListAnswer(packedAnswer(Longer), Parts).Outcome, call_outcome::Malformed);
 }
 
 // Guards against one writer's entry that makes the whole list unreadable, or overflows the stack:
@@ -444,7 +459,7 @@
       Nested.insert(Nested.end(), Depth, Nil);
     const auto At = Body.erase(Place, Place + 2);
     Body.insert(At, Nested.begin(), Nested.end());
-    const list_answer Answer = parseListAnswer(packedAnswer(Body));
+    const list_answer Answer = parseListAnswer(packedAnswer(Body), Parts);
     ASSERT_EQ(Answer.Outcome, call_outcome::Done) << static_cast<int>(Opening);
     ASSERT_EQ(Answer.Objects.size(), 2U);
     EXPECT_EQ(Answer.Objects[1].Name, "i-2");
@@ -493,9 +508,9 @@
       Body.insert(Body.erase(Place, Place + 2), Odd.begin(), Odd.end());
       return packedAnswer(Body);
     };
-    ExpectGoodEntries(parseListAnswer(PackedWithOddValue(List)).Objects);
+    ExpectGoodEntries(parseListAnswer(PackedWithOddValue(List), Parts).Objects);
     std::vector<stored_object> Changed;
-    for (const object_change &Change : parseWatchAnswer(PackedWithOddValue(Changes)).Changes)
+    for (const object_change &Change : parseWatchAnswer(PackedWithOddValue(Changes), Parts).Changes)
       Changed.push_back(Change.Object);
     ExpectGoodEntries(Changed);
   }
@@ -505,7 +520,8 @@
 TEST_F(store_answers, reportChangesInOrder) {
   const watch_answer Answer = parseWatchAnswer(answer(200, R"({"events":[
       {"deleted":false,"object":{"meta":{"name":"i-1","revision":4,"created":2},"spec":{}}},
-      {"deleted":true,"object":{"meta":{"name":"i-1","revision":5,"created":2}}}],"current_rev":7})"));
+      {"deleted":true,"object":{"meta":{"name":"i-1","revision":5,"created":2}}}],"current_rev":7})"),
+                                               Parts);
   ASSERT_EQ(Answer.Changes.size(), 2U);
   EXPECT_FALSE(Answer.Changes[0].Deleted);
   EXPECT_TRUE(Answer.Changes[1].Deleted);
--- a/tests/store/watcher_support.h
+++ b/tests/store/watcher_support.h
@@ -145,7 +145,8 @@
 
   void answerList(std::vector<stored_object> Objects, std::uint64_t Revision, bool HasMore = false,
                   std::uint64_t Era = 0) {
-    Api.take().List({call_outcome::Done, std::move(Objects), HasMore, Revision, Era});
+    const std::string LastName = Objects.empty() ? "" : Objects.back().Name;
+    Api.take().List({call_outcome::Done, std::move(Objects), HasMore, Revision, Era, LastName});
   }
   void answerWatch(std::size_t Changes, std::uint64_t Revision, std::uint64_t Era = 0) {
     Api.take().Watch({call_outcome::Done, std::vector<object_change>(Changes), Revision, Era});
