--- a/src/forward/dead_target_exchange.cpp
+++ b/src/forward/dead_target_exchange.cpp
@@ -64,8 +64,10 @@
 
 void dead_target_exchange::sweep(const endpoint *Reader, bool IsReader, instant Now) {
   const bool WasPaused = paused(Now);
-  if (WasPaused)
+  if (WasPaused) {
     DeadPool.restartDisputes();
+    MessagesStaleUntil = Now + StalePeriod;
+  }
   SweptAt = Now;
   if (!WasPaused)
     reportUnanswered(Reader, IsReader, Now);
@@ -201,8 +203,8 @@
       FailingPool.report(Entry.Target, Entry.Value, observerId(From), Now);
     break;
   case target_state_message::type::Dead:
-    // A message that waited while this process was paused may be outdated.
-    if (FromReader && !paused(Now))
+    // A message that waited while this process was paused is older than it states.
+    if (FromReader && !paused(Now) && Now >= MessagesStaleUntil)
       applyDead(From, Message.Entries, Now);
     break;
   case target_state_message::type::Failing:
@@ -224,8 +226,10 @@
       Question.ConfirmedAt = {};
       continue;
     }
-    Found = Found || !Target->foundDead(Now);
+    const bool EndedFlows = Target->foundDeadRecently(Now);
     Target->DeadUntil = Now + AnnouncementLifetime;
+    Target->EndsFlowsUntil = Now - std::chrono::milliseconds(Entry.Value) + FlowEndTime;
+    Found = Found || (!EndedFlows && Target->foundDeadRecently(Now));
   }
   confirmAnswers(Now);
 }
@@ -267,10 +271,11 @@
   if (!New && (DeadPool.dueAnnouncements(Now, Now).empty() || !Budget.available(Now)))
     return;
   NextDeadRoundAt = nextRoundAt(Now);
-  const std::vector<target_process> Due = DeadPool.dueAnnouncements(Now + RoundSlack, Now);
-  const entries Entries = toEntries(Due);
-  for (const target_process &Process : Due)
+  entries Entries;
+  for (const target_process &Process : DeadPool.dueAnnouncements(Now + RoundSlack, Now)) {
+    Entries.push_back({Process, ageMs(DeadPool.foundAt(Process), Now)});
     DeadPool.onAnnounced(Process, Now);
+  }
   sendToContacts(target_state_message::type::Dead, Entries, Now);
   applyDead(Local, Entries, Now);
 }
--- a/src/forward/dead_target_exchange.h
+++ b/src/forward/dead_target_exchange.h
@@ -9,6 +9,7 @@
 #include "forward/target_registry.h"
 #include "forward/target_state_message.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -33,6 +34,14 @@
 public:
   /// Time for which an announcement counts.
   static constexpr duration AnnouncementLifetime = std::chrono::milliseconds(3000);
+  /// Time from a finding until it no longer ends flows: the target may be reachable again, and the
+  /// callers of idle flows, who show nothing, may go on. The reports that a finding goes by are
+  /// about packets of up to ReportDelay before it, and a target that was reachable for the
+  /// platform's contact time must lose no flow.
+  static constexpr duration MaxFlowEndTime = std::chrono::milliseconds(2000);
+  static constexpr duration ReportDelay = std::chrono::milliseconds(2000);
+  /// Time in which messages that waited during a pause are read.
+  static constexpr duration StalePeriod = std::chrono::milliseconds(100);
   /// An answer that this forwarder has seen within this time contradicts an announcement.
   static constexpr duration AnswerValidity = std::chrono::milliseconds(500);
   /// Minimum time between two confirmations of answers of a target.
@@ -57,11 +66,12 @@
   /// Repeats that are due within this time join a round.
   static constexpr duration RoundSlack = std::chrono::milliseconds(500);
 
-  /// \p Local identifies this forwarder as an observer. \p Suspicions knows the forwarders to
-  /// notify. The references must outlive the object.
-  dead_target_exchange(const endpoint &Local, target_registry &Targets,
+  /// \p Local identifies this forwarder as an observer. \p ContactTime is the platform's contact
+  /// time. \p Suspicions knows the forwarders to notify. The references must outlive the object.
+  dead_target_exchange(const endpoint &Local, duration ContactTime, target_registry &Targets,
                        suspicion_exchange &Suspicions, target_state_sender &StateSender)
-      : Local(Local), Targets(Targets), Suspicions(Suspicions), StateSender(StateSender) {}
+      : Local(Local), FlowEndTime(std::min(ContactTime - ReportDelay, MaxFlowEndTime)),
+        Targets(Targets), Suspicions(Suspicions), StateSender(StateSender) {}
 
   /// Reports what callers show, and processes what is due. Call it every 250 ms. \p Reader is the
   /// forwarder that pools the reports of this one; nullptr if this one does. \p IsReader is set if
@@ -118,6 +128,7 @@
   void sendToContacts(target_state_message::type Type, const entries &Entries, instant Now);
 
   endpoint Local;
+  duration FlowEndTime;
   target_registry &Targets;
   suspicion_exchange &Suspicions;
   target_state_sender &StateSender;
@@ -127,6 +138,8 @@
   std::map<target_process, question> Questions;
   bool Found = false;
   instant SweptAt{};
+  /// Announcements are ignored until then.
+  instant MessagesStaleUntil{};
   instant NextContactAt{};
   instant NextFailureReportAt{};
   instant NextFailingRoundAt{};
--- a/src/forward/dead_target_pool.cpp
+++ b/src/forward/dead_target_pool.cpp
@@ -86,6 +86,7 @@
     const bool Again = Now < State.AnnouncedUntil + State.AnnouncementTime;
     State.AnnouncementTime =
         Again ? std::min(2 * State.AnnouncementTime, MaxAnnouncementTime) : MinAnnouncementTime;
+    State.FoundAt = Now;
     State.AnnouncedUntil = Now + State.AnnouncementTime;
     State.DisputedAt = Never;
     Result.push_back(Target);
@@ -107,6 +108,11 @@
     Found->second.NextAnnouncementAt = Now + RepeatInterval;
 }
 
+instant dead_target_pool::foundAt(const target_process &Target) const {
+  const auto Found = Targets.find(Target);
+  return Found == Targets.end() ? instant{} : Found->second.FoundAt;
+}
+
 void dead_target_pool::restartDisputes() {
   for (auto &[Target, State] : Targets) {
     State.DisputedAt = Never;
--- a/src/forward/dead_target_pool.h
+++ b/src/forward/dead_target_pool.h
@@ -74,6 +74,8 @@
   /// \p Time.
   std::vector<target_process> dueAnnouncements(instant Time, instant Now) const;
   void onAnnounced(const target_process &Target, instant Now);
+  /// Returns when the reports showed that an announced target was dead.
+  instant foundAt(const target_process &Target) const;
 
   /// This process was paused, so answers may wait unread. Disputes start anew.
   void restartDisputes();
@@ -92,6 +94,8 @@
     instant DisputedAt = Never;
     instant NoticeSentAt{};
     instant AnsweredAt{};
+    /// When the target was last found dead.
+    instant FoundAt{};
     /// The target is announced as dead until then.
     instant AnnouncedUntil{};
     instant NextAnnouncementAt{};
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -271,7 +271,7 @@
 }
 
 bool packet_forwarder::provenDead(const target &Target, instant Now) const {
-  if (!Target.foundDead(Now))
+  if (!Target.foundDeadRecently(Now))
     return false;
   int All = 0;
   int Dead = 0;
@@ -303,7 +303,7 @@
   // A service has many targets, and a dead target may have many flows.
   std::unordered_map<const target *, bool> Dead;
   const auto IsDead = [&](const target &Target) {
-    if (!Target.foundDead(Now))
+    if (!Target.foundDeadRecently(Now))
       return false;
     const auto [Entry, New] = Dead.try_emplace(&Target, false);
     if (New)
--- a/src/forward/packet_forwarder.h
+++ b/src/forward/packet_forwarder.h
@@ -120,8 +120,8 @@
   target *chooseTarget(const caller_packet &Packet, const active_route &Route,
                        const target *Avoided, instant Now);
   const target *targetOfFailedOpen(const caller_packet &Packet);
-  /// Returns whether a reader found the target dead and this isn't ignored: a partition makes most
-  /// targets of a data centre look dead.
+  /// Returns whether a reader found the target dead recently and this isn't ignored: a partition
+  /// makes most targets of a data centre look dead.
   bool provenDead(const target &Target, instant Now) const;
   static bool mayBeOpenElsewhere(const caller_packet &Packet, instant ReceivedAt, instant Now);
   void detectPause(instant Now);
--- a/src/forward/target.h
+++ b/src/forward/target.h
@@ -44,6 +44,8 @@
   instant ReportedUntil{};
   /// Until then the target counts as dead: no balancer's caller gets an answer (message Dead).
   instant DeadUntil{};
+  /// Until then this finding also ends flows, because what it goes by is recent.
+  instant EndsFlowsUntil{};
   /// Until then the target counts as failing in part (message Failing).
   instant FailingUntil{};
   /// Failed requests since they were last reported.
@@ -56,6 +58,9 @@
   bool reported(instant Now) const { return Now < ReportedUntil; }
   /// A reader found the target dead, and this balancer has seen no answer since.
   bool foundDead(instant Now) const { return Now < DeadUntil; }
+  /// The same, by observations so recent that they are also about flows whose callers send only
+  /// now.
+  bool foundDeadRecently(instant Now) const { return foundDead(Now) && Now < EndsFlowsUntil; }
   bool failing(instant Now) const { return Now < FailingUntil; }
   /// The target has announced its end.
   bool draining(instant Now) const { return Registration.Draining || Now < DrainingUntil; }
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -54,6 +54,7 @@
     Entry->AnsweredAt = {};
     Entry->ReportedUntil = {};
     Entry->DeadUntil = {};
+    Entry->EndsFlowsUntil = {};
     Entry->FailingUntil = {};
     Entry->Failures = 0;
   }
--- a/src/forward/target_state_message.cpp
+++ b/src/forward/target_state_message.cpp
@@ -15,7 +15,7 @@
 bool hasValue(target_state_message::type Type) {
   return Type == target_state_message::type::Unanswered ||
          Type == target_state_message::type::Answered ||
-         Type == target_state_message::type::Failures;
+         Type == target_state_message::type::Failures || Type == target_state_message::type::Dead;
 }
 
 bool isKnown(target_state_message::type Type) {
--- a/src/forward/target_state_message.h
+++ b/src/forward/target_state_message.h
@@ -31,12 +31,14 @@
     /// Callers of the sender got answers from the targets. Value is the age of the last answer in
     /// milliseconds.
     Answered = 6,
-    /// The targets answer nobody.
-    Dead = 9,
     /// Requests at the targets failed. Value is their number since the previous message.
     Failures = 10,
     /// The targets fail in part.
     Failing = 11,
+    /// The targets were found to answer nobody. Value is the time since then in milliseconds. Type
+    /// 9
+    /// was this without a time, and must not be used again.
+    Dead = 12,
   };
   struct entry {
     target_process Target;
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -202,7 +202,8 @@
         LoadExchange(AllSettings.Peers, Targets, Packets.loadMeter(), PooledLoad, MessageSocket,
                      Random),
         LoadLog(Log, Targets, LoadExchange, PooledLoad), Admission({}, Routes, PooledLoad, Random),
-        DeadTargetExchange(AllSettings.Peers, Targets, SuspicionExchange, MessageSocket),
+        DeadTargetExchange(AllSettings.Peers, AllSettings.ContactTime, Targets, SuspicionExchange,
+                           MessageSocket),
         Watchers(revisionTimes(AllSettings).Interval, RevisionExchange, StoreEra, GroupScheduler,
                  Random),
         RegistrationScheduler(Loop, Clock), ConfigurationScheduler(Loop, Clock),
@@ -358,7 +359,7 @@
   const instant Now = Clock.now();
   const suspicion_changes Changes = SuspicionTracker.update(Targets, Now);
   DecisionLog.logSuspicionChanges(Changes, Now);
-  DecisionLog.logStateChanges(TargetStates.update(Targets, Now));
+  DecisionLog.logStateChanges(TargetStates.update(Targets, Now), Now);
   if (!MessageSocket.isOpen())
     return;
   std::vector<std::uint64_t> Numbers;
@@ -388,7 +389,8 @@
   // Callers of idle flows may send at any moment, so this doesn't wait for the next sweep.
   if (!DeadTargetExchange.consumeFoundFlag())
     return;
-  DecisionLog.logStateChanges(TargetStates.update(Targets, Clock.now()));
+  const instant Now = Clock.now();
+  DecisionLog.logStateChanges(TargetStates.update(Targets, Now), Now);
   updateCurrency();
   Socket.sweep();
   requestProof();
--- a/src/forwarder/forwarder_log.cpp
+++ b/src/forwarder/forwarder_log.cpp
@@ -123,15 +123,17 @@
   }
 }
 
-void forwarder_log::logStateChanges(const target_state_changes &Changes) {
-  const auto LogBegan = [&](log_event Event, const std::vector<const target *> &Began) {
-    for (const target *Target : Began)
-      Log.write(Event, {{"target", Target->Registration.Name},
-                        {"service", Target->Registration.Service},
-                        {"target_flows", std::to_string(Target->OpenFlows)}});
-  };
-  LogBegan(log_event::TargetDead, Changes.DeadBegan);
-  LogBegan(log_event::TargetFailing, Changes.FailingBegan);
+void forwarder_log::logStateChanges(const target_state_changes &Changes, instant Now) {
+  for (const target *Target : Changes.DeadBegan)
+    Log.write(log_event::TargetDead,
+              {{"target", Target->Registration.Name},
+               {"service", Target->Registration.Service},
+               {"target_flows", std::to_string(Target->OpenFlows)},
+               {"ends_flows", Target->foundDeadRecently(Now) ? "yes" : "no"}});
+  for (const target *Target : Changes.FailingBegan)
+    Log.write(log_event::TargetFailing, {{"target", Target->Registration.Name},
+                                         {"service", Target->Registration.Service},
+                                         {"target_flows", std::to_string(Target->OpenFlows)}});
   for (const std::string &Name : Changes.DeadEnded)
     Log.write(log_event::TargetDeadEnded, {{"target", Name}});
   for (const std::string &Name : Changes.FailingEnded)
--- a/src/forwarder/forwarder_log.h
+++ b/src/forwarder/forwarder_log.h
@@ -40,7 +40,7 @@
   /// Logs services whose admission began or ended, or whose level changed by a tenth.
   void logAdmission(const std::vector<admission_status> &Services);
   /// Logs the targets that are dead or fail in part since now, or no longer.
-  void logStateChanges(const target_state_changes &Changes);
+  void logStateChanges(const target_state_changes &Changes, instant Now);
 
 private:
   event_log &Log;
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -109,7 +109,7 @@
     log_event_definition{log_event::TargetReportEnded, "target_report_ended", Info,
                          "reports about a target expired, or it answered this forwarder"},
     log_event_definition{log_event::TargetDead, "target_dead", Warning,
-                         "target answers no forwarder's callers; its flows are reset"},
+                         "target answers no forwarder's callers"},
     log_event_definition{log_event::TargetDeadEnded, "target_dead_ended", Info,
                          "target is no longer announced as dead, or it answered this forwarder"},
     log_event_definition{log_event::TargetFailing, "target_failing", Warning,
--- a/tests/forward/dead_target_test.cpp
+++ b/tests/forward/dead_target_test.cpp
@@ -23,7 +23,7 @@
   for (const target_state_message &Message :
        {target_state_message{type::Unanswered, {{Web1, 1}, {{~0ULL, 5}, 2}}},
         target_state_message{type::Answered, {{Web1, 300}, {Web2, 0xffff}}},
-        target_state_message{type::Dead, {{Web1, 0}, {Web2, 0}}},
+        target_state_message{type::Dead, {{Web1, 0}, {Web2, 1500}}},
         target_state_message{type::Failures, {{Web1, 3}, {Web2, 1}}},
         target_state_message{type::Failing, {{Web1, 0}, {Web2, 0}}}}) {
     const std::string Bytes = writeTargetStateMessage(Message);
@@ -48,11 +48,11 @@
   Longest.Entries.push_back({Web1, 1});
   EXPECT_FALSE(parseTargetStateMessage(writeTargetStateMessage(Longest)));
   std::string Foreign = writeTargetStateMessage({type::Dead, {{Web1, 0}}});
-  for (const int Type : {0, 1, 2, 3, 4, 7, 8, 12}) {
+  for (const int Type : {0, 1, 2, 3, 4, 7, 8, 9, 13}) {
     Foreign[3] = static_cast<char>(Type);
     EXPECT_FALSE(parseTargetStateMessage(Foreign)) << Type;
   }
-  Foreign[3] = 9;
+  Foreign[3] = static_cast<char>(type::Dead);
   Foreign[2] = 2;
   EXPECT_FALSE(parseTargetStateMessage(Foreign));
 }
@@ -250,10 +250,11 @@
     Forwarder.setTargetsCurrentAt(Now + seconds(1000));
   }
   target &targetAt(std::uint64_t Number) { return *Targets.find("i-" + std::to_string(Number)); }
-  void receive(type Type, std::initializer_list<std::uint64_t> Numbers, bool FromReader = true) {
+  void receive(type Type, std::initializer_list<std::uint64_t> Numbers, bool FromReader = true,
+               std::uint16_t AgeMs = 0) {
     target_state_message Message{Type, {}};
     for (const std::uint64_t Number : Numbers)
-      Message.Entries.push_back({{Number, targetAt(Number).Registration.StartedMs}, 0});
+      Message.Entries.push_back({{Number, targetAt(Number).Registration.StartedMs}, AgeMs});
     Exchange.receive(Reader, FromReader, Message, Now);
   }
   /// Opens flows until one is at \p Target, and returns its port.
@@ -278,7 +279,7 @@
   std::uint16_t NextPort = 100;
   recording_sender Sender;
   suspicion_exchange Suspicions{instance(9), Targets, Sender};
-  dead_target_exchange Exchange{instance(9), Targets, Suspicions, Sender};
+  dead_target_exchange Exchange{instance(9), seconds(4), Targets, Suspicions, Sender};
 };
 
 // Guards against an idle flow whose caller sends only later, a request that it may not repeat, and
@@ -300,6 +301,38 @@
   expectDecision(send(8, targetAt(2).Token, 500), forward_action::Forward, forward_reason::Open);
 }
 
+// Guards against resets by a finding that is older than the flow's silence: the target was cut off
+// for a moment, can be reached again, and is announced on because nobody tries it (review, case
+// 12).
+TEST_F(balancer_with_findings, keepsFlowsOfATargetThatWasFoundDeadLongAgo) {
+  for (const int AgeMs : {0, 1000, 1999, 2000, 3000, 65535}) {
+    SCOPED_TRACE(AgeMs);
+    receive(type::Dead, {1}, true, static_cast<std::uint16_t>(AgeMs));
+    EXPECT_TRUE(targetAt(1).foundDead(Now));
+    const bool Ends = AgeMs < 2000;
+    EXPECT_EQ(Exchange.consumeFoundFlag(), AgeMs == 0);
+    expectDecision(send(7, targetAt(1).Token, 500),
+                   Ends ? forward_action::Reset : forward_action::Forward,
+                   Ends ? forward_reason::TargetDead : forward_reason::Open);
+    EXPECT_TRUE(sweep().empty());
+  }
+  // A balancer that started later, or was paused, gets only the repeats of the announcement.
+  receive(type::Dead, {2}, true, 3000);
+  send(8, targetAt(2).Token, 500);
+  Now += milliseconds(250);
+  EXPECT_FALSE(Exchange.consumeFoundFlag());
+  EXPECT_TRUE(sweep().empty());
+}
+
+// Guards against findings that end flows later than the platform's contact time allows.
+TEST_F(balancer_with_findings, keepsFlowsLongerIfTheContactTimeIsShort) {
+  dead_target_exchange Short{instance(9), milliseconds(2500), Targets, Suspicions, Sender};
+  Short.receive(Reader, true, {type::Dead, {{Web1, 499}}}, Now);
+  EXPECT_EQ(send(7, targetAt(1).Token, 500).Action, forward_action::Reset);
+  Short.receive(Reader, true, {type::Dead, {{Web2, 500}}}, Now);
+  EXPECT_EQ(send(8, targetAt(2).Token, 500).Action, forward_action::Forward);
+}
+
 // Guards against resets of a restarted target's flows at a balancer that doesn't know its new entry
 // yet.
 TEST_F(balancer_with_findings, needsProofOfTheEntryForUntrackedFlows) {
@@ -412,8 +445,12 @@
   Now += seconds(2);
   receive(type::Dead, {1});
   EXPECT_FALSE(targetAt(1).foundDead(Now));
+  // Messages that waited may be read after the first sweep, too.
   Exchange.sweep(&Reader, false, Now);
   receive(type::Dead, {1});
+  EXPECT_FALSE(targetAt(1).foundDead(Now));
+  Now += dead_target_exchange::StalePeriod;
+  receive(type::Dead, {1});
   EXPECT_TRUE(targetAt(1).foundDead(Now));
 }
 
@@ -500,7 +537,9 @@
               (std::vector{target_state_message{type::Dead, {{Web1, 0}}}}));
   }
   sweepFor(milliseconds(2000), {}, 1);
-  EXPECT_EQ(Sender.Sent[instance(3)].size(), 3U);
+  // Each announcement tells how long ago the target was found dead.
+  ASSERT_EQ(Sender.Sent[instance(3)].size(), 3U);
+  EXPECT_EQ(Sender.Sent[instance(3)][2].Entries[0].Value, 2000U);
   sweepFor(seconds(8), {}, 1);
   EXPECT_EQ(Sender.Sent[instance(3)].size(), 6U);
   EXPECT_FALSE(targetAt(1).foundDead(Now));
--- a/tests/forward/load_model_support.cpp
+++ b/tests/forward/load_model_support.cpp
@@ -114,7 +114,7 @@
     : DataCentre(DataCentre), Registry(registrySettings(DataCentre)),
       Forwarder({}, Routes, Registry, Model.Random, Observer), Local(endpointOf(Index)),
       Sender(Model, Index), SuspicionExchange(Local, Registry, Sender),
-      DeadTargets(Local, Registry, SuspicionExchange, Sender),
+      DeadTargets(Local, std::chrono::seconds(4), Registry, SuspicionExchange, Sender),
       Pooled(Registry, Forwarder.loadMeter()),
       Load(Local, Registry, Forwarder.loadMeter(), Pooled, Sender, Model.LoadRandom),
       Admission({}, Routes, Pooled, Model.LoadRandom) {
--- a/tests/forwarder/message_socket_test.cpp
+++ b/tests/forwarder/message_socket_test.cpp
@@ -57,7 +57,7 @@
   load_meter Meter;
   pooled_load Pooled{Targets, Meter, 0};
   load_exchange Loads{anyPort(), Targets, Meter, Pooled, Socket, Random};
-  dead_target_exchange DeadTargets{anyPort(), Targets, Suspicions, Socket};
+  dead_target_exchange DeadTargets{anyPort(), std::chrono::seconds(4), Targets, Suspicions, Socket};
 };
 
 // Guards against questions that are lost between the socket and the exchange.
