--- a/src/forward/inferred_health.cpp
+++ b/src/forward/inferred_health.cpp
@@ -18,8 +18,13 @@
   BackoffExponent = 0;
   if (Repeats == 0)
     return;
-  ++Epoch;
   Repeats = 0;
+  restartRecentRepeats();
+}
+
+void inferred_health::restartRecentRepeats() {
+  ++Epoch;
+  RecentRepeats = 0;
   RepeatingFlows = 0;
 }
 
@@ -28,7 +33,10 @@
   // restarts.
   if (Repeats > 0 && Now >= LastRepeatAt + SuspicionLifetime)
     onAnswer();
-  if (Repeats++ == 0)
+  else if (Repeats > 0 && Now >= LastRepeatAt + DeadEvidenceLifetime)
+    restartRecentRepeats();
+  ++Repeats;
+  if (RecentRepeats++ == 0)
     FirstRepeatAt = Now;
   if (FlowEpoch != Epoch)
     ++RepeatingFlows;
--- a/src/forward/inferred_health.h
+++ b/src/forward/inferred_health.h
@@ -25,9 +25,13 @@
   /// 1,400 ms, and at the third repeat it still has time for another attempt.
   static constexpr std::uint32_t DeadAfterRepeats = 3;
   static constexpr duration DeadAfterRepeatsSpan = std::chrono::milliseconds(1100);
-  /// A target no longer counts as dead this long after the last repeat. Callers that gave up don't
-  /// repeat, so older repeats don't show that the target still answers no caller.
+  /// Repeats end flows for this time. Callers that gave up don't repeat, so older ones don't show
+  /// that the target still answers no caller. Repeats further apart don't count together either: an
+  /// answer in between is seen only if its caller sends again through this balancer.
   static constexpr duration DeadEvidenceLifetime = std::chrono::milliseconds(1000);
+  /// The same for a target that is gone. It is longer than the time for which a reset waits for
+  /// proof that the target's entry is current.
+  static constexpr duration SilentEvidenceLifetime = std::chrono::milliseconds(2000);
   /// A suspicion ends this long after the last repeat, so that a target without flows is tried
   /// again.
   static constexpr duration SuspicionLifetime = std::chrono::milliseconds(3000);
@@ -66,31 +70,40 @@
     return Repeats >= SuspectAfterRepeats && Now < LastRepeatAt + SuspicionLifetime;
   }
 
+  /// Callers repeated packets recently. Flows should be reset if the target is gone, too.
+  bool silent(instant Now) const {
+    return RecentRepeats >= SuspectAfterRepeats && Now < LastRepeatAt + SilentEvidenceLifetime;
+  }
+
   /// The target answers none of its callers, so their flows should be reset.
   bool dead(instant Now) const {
     const duration Span = LastRepeatAt - FirstRepeatAt;
-    return Now < LastRepeatAt + DeadEvidenceLifetime && Repeats >= SuspectAfterRepeats &&
-           ((RepeatingFlows >= DeadAfterFlows && Span >= DeadAfterFlowsSpan) ||
-            (Repeats >= DeadAfterRepeats && Span >= DeadAfterRepeatsSpan));
+    return silent(Now) && ((RepeatingFlows >= DeadAfterFlows && Span >= DeadAfterFlowsSpan) ||
+                           (RecentRepeats >= DeadAfterRepeats && Span >= DeadAfterRepeatsSpan));
   }
 
   /// Callers repeated packets recently, and no answer has been seen since the first repeat.
   bool unanswered(instant Now) const {
-    return Repeats > 0 && Now >= FirstRepeatAt + UnansweredTime &&
+    return RecentRepeats > 0 && Now >= FirstRepeatAt + UnansweredTime &&
            Now < LastRepeatAt + DeadEvidenceLifetime;
   }
 
-  /// Number of flows with repeats since the last answer.
+  /// Number of flows with repeats since the last answer that count together.
   std::uint32_t repeatingFlows() const { return RepeatingFlows; }
 
   /// Number of repeats since the last answer.
   std::uint32_t repeats() const { return Repeats; }
 
 private:
-  /// Incremented with each answer that follows a repeat, so that RepeatingFlows counts a flow once
-  /// between two answers.
+  /// Starts to count the repeats that can show that the target is dead.
+  void restartRecentRepeats();
+
+  /// Incremented whenever RepeatingFlows starts at 0, so that it counts each flow once.
   std::uint32_t Epoch = 1;
   std::uint32_t Repeats = 0;
+  /// Repeats since the last answer of which each came within DeadEvidenceLifetime after the
+  /// previous one, the number of their flows, and the time of the first one.
+  std::uint32_t RecentRepeats = 0;
   std::uint32_t RepeatingFlows = 0;
   instant FirstRepeatAt{};
   instant LastRepeatAt{};
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -20,7 +20,7 @@
 /// Returns whether flows of the target should be reset. A missing entry isn't sufficient evidence:
 /// a host may continue to serve for seconds after its entry has disappeared from the store.
 bool unresponsive(const target &Target, instant Now) {
-  return Target.gone(Now) ? Target.Health.suspected(Now) : Target.Health.dead(Now);
+  return Target.gone(Now) ? Target.Health.silent(Now) : Target.Health.dead(Now);
 }
 
 /// Reason for a reset of a flow whose target is unresponsive.
--- a/tests/forward/forwarding_to_two_targets_test.cpp
+++ b/tests/forward/forwarding_to_two_targets_test.cpp
@@ -200,6 +200,19 @@
   EXPECT_EQ(send(999, First.Token, 500).Action, forward_action::Forward);
 }
 
+// Guards against resets at a working target by repeats of two callers that are seconds apart: the
+// first one's answer is seen only when that caller sends again.
+TEST_F(forwarding_to_a_silent_target, keepsFlowsIfRepeatsAreFarApart) {
+  ASSERT_GE(Ports.size(), 3U);
+  for (std::size_t I = 0; I < 3; ++I) {
+    send(Ports[I], First.Token, 500);
+    Now += milliseconds(200);
+    EXPECT_EQ(send(Ports[I], First.Token, 500).Action, forward_action::Forward);
+    EXPECT_TRUE(sweep().empty());
+    Now += milliseconds(900);
+  }
+}
+
 // Guards against broken flows to a target that lost one packet or is slow for one caller.
 TEST_F(forwarding_to_a_silent_target, keepsFlowsIfAnyCallerGetsAnAnswer) {
   ASSERT_GE(Ports.size(), 3U);
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -304,6 +304,24 @@
   EXPECT_EQ(sweep(), std::vector<std::uint16_t>{7});
 }
 
+// Guards against resets of flows of a target that left the store but serves on, by repeats of a
+// short interruption that are seconds old.
+TEST_F(forwarding_to_a_removed_target, keepsFlowsLongAfterTheLastRepeat) {
+  Forwarder.setTargetsCurrentAt(Now + seconds(1000));
+  for (const int Wait : {0, 200}) {
+    Now += milliseconds(Wait);
+    send(7, First.Token, 500);
+    send(8, First.Token, 500);
+  }
+  sweep();
+  Now += seconds(1);
+  expectDecision(send(21, First.Token, 500), forward_action::Reset, forward_reason::TargetGone);
+  Now += seconds(1);
+  EXPECT_TRUE(First.Health.suspected(Now));
+  expectDecision(send(22, First.Token, 500), forward_action::Forward, forward_reason::Open);
+  EXPECT_TRUE(sweep().empty());
+}
+
 /// A target whose entry was removed has started again under its id at another address, which this
 /// balancer doesn't know yet. Flows that other balancers opened at it come here.
 class forwarding_to_a_target_that_moved : public forwarding_to_a_removed_target {
