--- a/src/forward/flow_tracker.cpp
+++ b/src/forward/flow_tracker.cpp
@@ -45,7 +45,7 @@
                                          Packet.Sequence == Flow.Sequence &&
                                          Packet.Acknowledged == Flow.Acknowledged;
   if (Repeat) {
-    if (Now - Flow.SentAt < MinRepeatDelay)
+    if (Flow.ForwardedAt == Never || Now - Flow.ForwardedAt < MinRepeatDelay)
       return;
     ++Flow.Repeats;
     if (Flow.Target != nullptr) {
@@ -80,9 +80,16 @@
     Flow.AwaitingAnswer = true;
     Flow.Sequence = Packet.Sequence;
     Flow.SentAt = Now;
+    Flow.ForwardedAt = Never;
   }
 }
 
+void flow_tracker::onForwarded(tracked_flow &Flow, const caller_packet &Packet, instant Now) {
+  if ((Packet.Opens || Packet.DataSize > 0) && Packet.Sequence == Flow.Sequence &&
+      Flow.ForwardedAt == Never)
+    Flow.ForwardedAt = Now;
+}
+
 void flow_tracker::countFailure(target &Target) {
   if (Target.Failures < std::numeric_limits<decltype(Target.Failures)>::max())
     ++Target.Failures;
@@ -112,6 +119,7 @@
   if (Flow.Target != nullptr)
     --Flow.Target->OpenFlows;
   Flow.Target = Target;
+  Flow.ForwardedAt = Never;
   Flow.Answered = false;
   if (Target != nullptr)
     ++Target->OpenFlows;
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -16,8 +16,8 @@
 /// targets. Holds a limited number of flows; further ones are forwarded without being tracked.
 class flow_tracker {
 public:
-  /// A repeat that arrives sooner than this after the original was delayed in the balancer's own
-  /// queue, so it is no evidence about the target. Callers repeat after 200 ms.
+  /// A repeat that arrives sooner than this after a copy was forwarded was delayed in the
+  /// balancer's own queue, so it is no evidence about the target. Callers repeat after 200 ms.
   static constexpr duration MinRepeatDelay = std::chrono::milliseconds(120);
 
   /// Repeats of a request after which it counts as failed if its target answered others meanwhile.
@@ -36,9 +36,13 @@
   /// Starts to track a flow that is assigned to \p Target. Returns nullptr if the tracker is full.
   tracked_flow *add(const caller_packet &Packet, target *Target, instant Now);
 
-  /// Processes a packet of a tracked flow and updates the health of its target.
+  /// Processes a packet of a tracked flow and updates the health of its target. A repeat is
+  /// evidence only if the target was sent a copy before.
   void observe(tracked_flow &Flow, const caller_packet &Packet, instant Now);
 
+  /// The packet, which was observed or added before, is forwarded to the flow's target.
+  static void onForwarded(tracked_flow &Flow, const caller_packet &Packet, instant Now);
+
   /// Assigns a flow to another target, or to none if \p Target is nullptr.
   static void reassign(tracked_flow &Flow, target *Target);
 
--- a/src/forward/packet_forwarder.cpp
+++ b/src/forward/packet_forwarder.cpp
@@ -171,7 +171,8 @@
     if (Chosen == nullptr)
       return refuseOpen(Packet, Route, Copy, Now);
     Flows.erase(Packet.Flow);
-    Flows.add(Packet, Chosen, Now);
+    if (tracked_flow *Added = Flows.add(Packet, Chosen, Now))
+      flow_tracker::onForwarded(*Added, Packet, Now);
     Chosen->Health.onFlowAssigned(Now);
     return {forward_action::Forward, forward_reason::Placed, Chosen};
   }
@@ -183,17 +184,21 @@
   Flows.observe(*Flow, Packet, Now);
   target *Current = Flow->Target;
   if (!Current->Health.suspected(Now) && !Current->reported(Now) && !Current->foundDead(Now) &&
-      Current->acceptsFlows(Now))
+      Current->acceptsFlows(Now)) {
+    flow_tracker::onForwarded(*Flow, Packet, Now);
     return {forward_action::Forward, forward_reason::PlacedAgain, Current, Flow->Repeats};
+  }
   target *Other = chooseTarget(Packet, Route, Current, Now);
   if (Other == nullptr) {
     const forward_decision Refusal = refuseOpen(Packet, Route, true, Now);
     // The flow has already been counted at its target.
-    if (Refusal.Reason == forward_reason::WarmUpLimit && Current->acceptsFlows(Now))
-      return {forward_action::Forward, forward_reason::PlacedAgain, Current, Flow->Repeats};
-    return Refusal;
+    if (Refusal.Reason != forward_reason::WarmUpLimit || !Current->acceptsFlows(Now))
+      return Refusal;
+    flow_tracker::onForwarded(*Flow, Packet, Now);
+    return {forward_action::Forward, forward_reason::PlacedAgain, Current, Flow->Repeats};
   }
   flow_tracker::reassign(*Flow, Other);
+  flow_tracker::onForwarded(*Flow, Packet, Now);
   Other->Health.onFlowAssigned(Now);
   return {forward_action::Forward, forward_reason::PlacedAgain, Other, Flow->Repeats};
 }
@@ -202,6 +207,7 @@
                                                    const active_route *Route, instant Now) {
   if (Packet.Token == NoToken)
     return {forward_action::Drop, forward_reason::Meaningless};
+  detectPause(Now);
   target *Found = Targets.findByToken(Packet.Token);
   if (Found == nullptr)
     return handleUnknownToken(Packet, Now);
@@ -230,6 +236,8 @@
   }
   if (Packet.Ends)
     Flows.erase(Packet.Flow);
+  else if (Flow != nullptr)
+    flow_tracker::onForwarded(*Flow, Packet, Now);
   return {forward_action::Forward,
           Allowed ? forward_reason::Open : forward_reason::RouteUnconfirmed, Found, Repeats};
 }
@@ -242,6 +250,9 @@
   const bool Reassigned = Flow != nullptr && Flow->Target != &Found;
   if (Reassigned)
     flow_tracker::reassign(*Flow, &Found);
+  // A repeat that waited while this process was paused isn't one that the target left unanswered.
+  if (Flow != nullptr && Now < StaleUntil)
+    Flow->ForwardedAt = Never;
   if (Flow != nullptr)
     Flows.observe(*Flow, Packet, Now);
   else if ((Packet.DataSize > 0 || !Allowed) && !Packet.Ends)
--- a/src/forward/tracked_flow.h
+++ b/src/forward/tracked_flow.h
@@ -30,8 +30,10 @@
   std::uint8_t Repeats = 0;
   /// Result of inferred_health::onRepeat() at the last repeat; 0 before the first one.
   std::uint32_t HealthEpoch = 0;
-  /// When the last packet that wasn't a repeat was forwarded.
+  /// When the last packet that wasn't a repeat was received.
   instant SentAt{};
+  /// When this packet, or the first of its repeats, was forwarded to Target; Never if none was.
+  instant ForwardedAt = Never;
   instant LastPacketAt{};
   /// When a packet first had no route, or a target that the route doesn't allow; Never if the last
   /// packet had both.
--- a/tests/forward/forwarding_to_two_targets_test.cpp
+++ b/tests/forward/forwarding_to_two_targets_test.cpp
@@ -213,6 +213,19 @@
   }
 }
 
+// Guards against repeats that count as the target's silence although they, or what they repeat,
+// waited in this balancer's queue while it was paused.
+TEST_F(forwarding_to_a_silent_target, ignoresRepeatsThatWaitedDuringAPause) {
+  for (std::size_t I = 0; I + 1 < Ports.size(); ++I)
+    send(Ports[I], First.Token, 500);
+  sweep();
+  Now += seconds(3);
+  for (std::size_t I = 0; I + 1 < Ports.size(); ++I)
+    EXPECT_EQ(send(Ports[I], First.Token, 500).Action, forward_action::Forward);
+  EXPECT_EQ(First.Health.repeats(), 0U);
+  EXPECT_TRUE(sweep().empty());
+}
+
 // Guards against broken flows to a target that lost one packet or is slow for one caller.
 TEST_F(forwarding_to_a_silent_target, keepsFlowsIfAnyCallerGetsAnAnswer) {
   ASSERT_GE(Ports.size(), 3U);
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -150,6 +150,29 @@
   EXPECT_EQ(send(7, Later, 500).Target, &Target);
 }
 
+// Guards against repeats of packets that this balancer dropped, which count as the silence of a
+// target that never received them, and end its flows (soak, seed 88101).
+TEST_F(forwarding_to_one_target, blamesNoTargetForPacketsThatItDropped) {
+  const flow_token Later = makeFlowToken(77);
+  const std::vector<std::uint16_t> Ports{7, 8, 9};
+  for (const int Wait : {0, 200}) {
+    Now += milliseconds(Wait);
+    for (const std::uint16_t Port : Ports)
+      EXPECT_EQ(send(Port, Later, 500).Action, forward_action::Drop);
+  }
+  target &Target = add("i-77", 77);
+  Forwarder.setTargetsCurrentAt(Now + seconds(1000));
+  Now += milliseconds(400);
+  for (const std::uint16_t Port : Ports)
+    EXPECT_EQ(send(Port, Later, 500).Action, forward_action::Forward);
+  EXPECT_EQ(Target.Health.repeats(), 0U);
+  EXPECT_TRUE(sweep().empty());
+  // Repeats of what was forwarded count.
+  Now += milliseconds(800);
+  send(7, Later, 500);
+  EXPECT_EQ(Target.Health.repeats(), 1U);
+}
+
 class forwarding_with_another_service : public forwarding_to_one_target {
 protected:
   forwarding_with_another_service() {
