--- a/src/ctl/daemon_client.cpp
+++ b/src/ctl/daemon_client.cpp
@@ -21,6 +21,8 @@
     return Prefix + "cannot connect";
   case http_answer::outcome::NoAnswer:
     return Prefix + "no answer within the time limit";
+  case http_answer::outcome::TooLarge:
+    return Prefix + "the answer has more than " + std::to_string(MaxAnswerBytes) + " bytes";
   case http_answer::outcome::Answered:
     break;
   }
--- a/src/ctl/patch_command.cpp
+++ b/src/ctl/patch_command.cpp
@@ -96,7 +96,7 @@
   const http_answer Answer = Client.post("/v1/patches?dry_run=1", toJson(Patch));
   if (Answer.Outcome != http_answer::outcome::Answered || Answer.Status != StatusAccepted) {
     // A dry run changes nothing, so its outcome is certain even without an answer.
-    if (Answer.Outcome == http_answer::outcome::NoAnswer || Answer.Status == StatusUnknown)
+    if (Answer.isResultUnknown() || Answer.Status == StatusUnknown)
       throw ctl_error(exit_code::Unreachable, "no answer to the dry run");
     return report(Patch, Answer);
   }
@@ -117,7 +117,7 @@
 exit_code patch_command::report(const patch &Patch, const http_answer &Answer) {
   if (Answer.Outcome == http_answer::outcome::NotSent)
     throw ctl_error(exit_code::Unreachable, "cannot connect to any balancer; nothing was changed");
-  if (Answer.Outcome == http_answer::outcome::NoAnswer) {
+  if (Answer.isResultUnknown()) {
     reportOutcomeUnknown(Patch);
     return exit_code::OutcomeUnknown;
   }
--- a/src/ctl/run_ctl.cpp
+++ b/src/ctl/run_ctl.cpp
@@ -73,7 +73,7 @@
     const std::string Server = toString(Options.Servers.front());
     if (Answer.Outcome == http_answer::outcome::NotSent)
       throw ctl_error(exit_code::Unreachable, "cannot connect to " + Server);
-    if (Answer.Outcome == http_answer::outcome::NoAnswer)
+    if (Answer.isResultUnknown())
       throw ctl_error(exit_code::OutcomeUnknown,
                       "no answer from " + Server +
                           "; it may be leaving. The command may be repeated safely");
--- a/src/io/http_answer.h
+++ b/src/io/http_answer.h
@@ -13,9 +13,10 @@
     Answered,
     /// No connection could be established, so nothing was sent.
     NotSent,
-    /// The request may have been sent, but no complete response was received within the limits of
-    /// time and size.
+    /// The request may have been sent, but no complete response was received in time.
     NoAnswer,
+    /// The body of the response is larger than outgoing_request::MaxResponseSize.
+    TooLarge,
   };
 
   outcome Outcome = outcome::NoAnswer;
@@ -23,6 +24,11 @@
   /// Names in lower case. Of a repeated field, only the last one is kept.
   std::map<std::string, std::string> Headers;
   std::string Body;
+
+  /// The request may have taken effect, but its result is unknown.
+  bool isResultUnknown() const {
+    return Outcome == outcome::NoAnswer || Outcome == outcome::TooLarge;
+  }
 };
 
 } // namespace briarpoint
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -91,6 +91,8 @@
   http_answer Answer;
   /// The request in progress, which libevent owns; nullptr if there is none.
   evhttp_request *Request = nullptr;
+  /// The body of the response is larger than the request allows.
+  bool TooLarge = false;
 
   state(event_base *Base, const http_connection_settings &Settings)
       : Base(Base), Settings(Settings), RequestTimer(event_new(Base, -1, 0, onTimeout, this)),
@@ -98,6 +100,8 @@
         Delivery(event_new(Base, -1, 0, onDelivery, this)) {}
 
   static void onResponse(evhttp_request *Request, void *Argument);
+  /// libevent calls it before onResponse().
+  static void onError(evhttp_request_error Error, void *Argument);
   static void onTimeout(int, short, void *Argument);
   static void onConnectTimeout(int, short, void *Argument);
   static void onDelivery(int, short, void *Argument);
@@ -113,7 +117,16 @@
 };
 
 void http_connection::state::onResponse(evhttp_request *Request, void *Argument) {
-  static_cast<state *>(Argument)->finish(readAnswer(Request));
+  auto &Self = *static_cast<state *>(Argument);
+  http_answer Result = readAnswer(Request);
+  if (Self.TooLarge)
+    Result.Outcome = http_answer::outcome::TooLarge;
+  Self.finish(std::move(Result));
+}
+
+void http_connection::state::onError(evhttp_request_error Error, void *Argument) {
+  if (Error == EVREQ_HTTP_DATA_TOO_LONG)
+    static_cast<state *>(Argument)->TooLarge = true;
 }
 
 void http_connection::state::onTimeout(int, short, void *Argument) {
@@ -215,6 +228,8 @@
 
   evhttp_request *Request = evhttp_request_new(state::onResponse, &Self);
   Self.Request = Request;
+  Self.TooLarge = false;
+  evhttp_request_set_error_cb(Request, state::onError);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Host", toString(Call.Server).c_str());
   for (const auto &[Name, Value] : Call.Headers)
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -53,14 +53,17 @@
   /// The answer is of a lower era than one that was seen, so it is from before the store came back
   /// from a copy.
   OutdatedEra,
+  /// The answer is larger than is accepted.
+  TooLarge,
 };
 
-inline constexpr std::size_t CallOutcomeCount = 7;
+inline constexpr std::size_t CallOutcomeCount = 8;
 
 /// Returns the name in logs and metrics.
 constexpr std::string_view toString(call_outcome Outcome) {
   constexpr std::array<std::string_view, CallOutcomeCount> Names{
-      "done", "history_gone", "refused", "unanswered", "malformed", "unconfirmed", "outdated_era"};
+      "done",      "history_gone", "refused",      "unanswered",
+      "malformed", "unconfirmed",  "outdated_era", "too_large"};
   return Names.at(static_cast<std::size_t>(Outcome));
 }
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -164,7 +164,8 @@
     return;
   const bool Current = Era == era_observation::Current;
   const bool HistoryGone = Current && Answer.Outcome == call_outcome::HistoryGone;
-  const bool Answered = HistoryGone || (Current && Answer.Outcome == call_outcome::Done);
+  const bool Answered = HistoryGone || Answer.Outcome == call_outcome::TooLarge ||
+                        (Current && Answer.Outcome == call_outcome::Done);
   if (!Answered && isAnswerArriving()) {
     if (!RestartScheduled)
       scheduleCheck(Settings.ProbeTimeout);
@@ -200,7 +201,8 @@
 }
 
 void object_watcher::compareWithCheck(const watch_answer &Check) {
-  if (!Check.Changes.empty()) {
+  // An answer that is too large has changes.
+  if (!Check.Changes.empty() || Check.Outcome == call_outcome::TooLarge) {
     // The changes aren't reported yet, so CheckedPosition stays. The answer to the watch may be in
     // transit, so the watch is not restarted at once. If it isn't, its replica may be behind that
     // of the check.
@@ -353,7 +355,8 @@
     handleFailure(call_outcome::OutdatedEra);
     return;
   }
-  if (Answer.Outcome == call_outcome::HistoryGone) {
+  // A list comes in pages.
+  if (Answer.Outcome == call_outcome::HistoryGone || Answer.Outcome == call_outcome::TooLarge) {
     ++Counters.Outcomes[static_cast<std::size_t>(Answer.Outcome)];
     Group.releaseRetry(*this);
     scheduleList();
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -52,8 +52,9 @@
 };
 
 /// Reports all objects of one kind and their changes to a listener: first a list, then watches.
-/// After a gap in the store's history, and after a rise of the store's era, it lists again. It
-/// never reports a list that is older than what it reported before.
+/// After a gap in the store's history, a rise of the store's era, and changes that are too large
+/// for one answer, it lists again. It never reports a list that is older than what it reported
+/// before.
 ///
 /// For RecoveryTime after a rise, nothing that the store answers counts as a proof that the
 /// reported state is complete: the store lacks what it lost, and it is written again only then.
--- a/tests/io/http_connection_test.cpp
+++ b/tests/io/http_connection_test.cpp
@@ -20,7 +20,10 @@
     Call.Target = "/";
     Call.Limit = std::chrono::seconds(20);
     Call.MaxResponseSize = 10000;
-    Connection.send(Call, [this](const http_answer &Answer) { Body = Answer.Body; });
+    Connection.send(Call, [this](const http_answer &Answer) {
+      Outcome = Answer.Outcome;
+      Body = Answer.Body;
+    });
     while (Accepted.get() < 0) {
       Loop.runOnce(false);
       Accepted = file_descriptor(accept(Listening.get(), nullptr, nullptr));
@@ -41,6 +44,7 @@
   file_descriptor Accepted;
   http_connection Connection{Loop.base(), {}};
   std::optional<std::string> Body;
+  http_answer::outcome Outcome = http_answer::outcome::NotSent;
 };
 
 struct body_case {
@@ -77,6 +81,19 @@
   EXPECT_EQ(Connection.receivedBytes(), 0U);
 }
 
+// Guards against a response that is larger than the request allows, whose content is then received
+// in vain again and again, because it can't be told from one that is missing (review, case 14).
+TEST_P(response_in_parts, isRefusedAsTooLarge) {
+  const bool Chunked = GetParam().Headers.starts_with("Transfer");
+  sendPart("HTTP/1.1 200 OK\r\n" +
+           (Chunked ? GetParam().Headers + "\r\n2af8\r\n" + std::string(11'000, 'a')
+                    : "Content-Length: 11000\r\n\r\n" + std::string(1000, 'a')));
+  while (!Body)
+    Loop.runOnce(true);
+  EXPECT_EQ(Outcome, http_answer::outcome::TooLarge);
+  EXPECT_TRUE(Body->empty());
+}
+
 INSTANTIATE_TEST_SUITE_P(
     bodies, response_in_parts,
     testing::Values(body_case{"known_length", "Content-Length: 2500\r\n", std::string(1000, 'a'),
--- a/tests/platform_adapter/http_object_api_test.cpp
+++ b/tests/platform_adapter/http_object_api_test.cpp
@@ -92,6 +92,21 @@
   EXPECT_EQ(check(1).Outcome, call_outcome::Unanswered);
 }
 
+// Guards against changes that exceed the limit of an answer and are then never read (review, case
+// 14), and against a check that reads as much as the watch beside it.
+TEST_F(store_of_one_target, listsWhatIsTooLargeForAWatch) {
+  const list_answer List = list(read_consistency::Linearizable);
+  watch(List.Revision);
+  Store.writeObject("servers", "i-2", '"' + std::string(100'000, 'a') + '"');
+  EXPECT_EQ(wait(WatchResult).Outcome, call_outcome::Done);
+  EXPECT_EQ(check(List.Revision).Outcome, call_outcome::TooLarge);
+  for (int I = 3; I < 8; ++I)
+    Store.writeObject("servers", "i-" + std::to_string(I), '"' + std::string(900'000, 'a') + '"');
+  watch(List.Revision);
+  EXPECT_EQ(wait(WatchResult).Outcome, call_outcome::TooLarge);
+  EXPECT_EQ(list(read_consistency::Linearizable).Objects.size(), 7U);
+}
+
 class store_that_loses_its_history : public store_of_one_target {
 protected:
   store_that_loses_its_history() {
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -67,6 +67,18 @@
   EXPECT_LE(Api.Calls.front().Wait, object_watcher_settings().ProbeTimeout);
 }
 
+// Guards against a watch that is repeated until the history is gone, because its answer with large
+// entries of another writer is refused each time (review, case 14). A list comes in pages.
+TEST_F(watching_listed_objects, listsAfterChangesThatAreTooLargeForOneAnswer) {
+  failWatch(call_outcome::TooLarge);
+  EXPECT_TRUE(Listener.Events.empty());
+  EXPECT_EQ(Scheduler.runNext(), duration::zero());
+  EXPECT_TRUE(Api.Calls.front().List);
+  EXPECT_EQ(Api.Calls.front().Consistency, read_consistency::Linearizable);
+  answerList({object("a")}, 12);
+  EXPECT_EQ(Listener.Events, std::vector<std::string>{"list 1 at 12"});
+}
+
 // Guards against one priced call for each of many changes in a group.
 TEST_F(watching_listed_objects, batchesChangesBeforeTheNextWatch) {
   answerWatch(2, 12);
--- a/tests/store/watch_check_test.cpp
+++ b/tests/store/watch_check_test.cpp
@@ -73,6 +73,18 @@
   EXPECT_EQ(Api.Calls.front().Revision, 11U);
 }
 
+// Guards against a check whose changes are too large to be read, and which then counts as one that
+// the store didn't answer.
+TEST_F(watching_after_a_change, isRestartedIfACheckHasChangesThatAreTooLarge) {
+  Watcher.onRevisionRead(store_position{0, 18}, Scheduler.Now);
+  Api.Check({call_outcome::TooLarge, {}, 0});
+  EXPECT_EQ(Api.Cancelled, 0);
+  EXPECT_TRUE(Listener.Events.empty());
+  EXPECT_EQ(Scheduler.runNext(), object_watcher_settings().ProbeTimeout);
+  EXPECT_EQ(Api.Cancelled, 1);
+  EXPECT_EQ(Api.Calls.front().Revision, 11U);
+}
+
 // Guards against dropping a working watch because a later check wasn't answered.
 TEST_F(watching_after_a_change, isCheckedSoonerAfterALaterCheckThatFailed) {
   Watcher.onRevisionRead(store_position{0, 12}, Scheduler.Now);
