--- a/src/forward/route_table.cpp
+++ b/src/forward/route_table.cpp
@@ -58,6 +58,13 @@
   WarmUpRates = std::move(Next);
 }
 
+std::set<std::string> route_table::services() const {
+  std::set<std::string> Result;
+  for (const auto &[Address, Active] : Routes)
+    Result.insert(Active.FlowServices.begin(), Active.FlowServices.end());
+  return Result;
+}
+
 const active_route *route_table::find(const ipv4_endpoint &Address) const {
   const auto Found = Routes.find(Address);
   return Found == Routes.end() ? nullptr : &Found->second;
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -68,6 +68,9 @@
   /// Returns the route of a service address, or nullptr if there is none.
   const active_route *find(const ipv4_endpoint &Address) const;
 
+  /// Returns the services that the routes name, or named before, to which flows may be open.
+  std::set<std::string> services() const;
+
   /// Returns the priorities that the routes have.
   const std::set<std::uint32_t> &priorities() const { return Priorities; }
 
--- a/src/forward/target.h
+++ b/src/forward/target.h
@@ -19,8 +19,10 @@
   instant DrainingUntil{};
   /// The target is in the balancer's own data centre.
   bool Local = false;
-  /// False if another target has the same token and started earlier: a flow assigned to this target
-  /// could not be distinguished from a flow of the other one.
+  /// A route names the target's service, or no route is known yet.
+  bool ServiceNamed = true;
+  /// False if another target has the same token and precedes this one: a flow assigned to this
+  /// target could not be distinguished from a flow of the other one.
   bool OwnsToken = true;
   /// target_registry::releaseToken() gave the token to another target.
   bool TokenReleased = false;
--- a/src/forward/target_registry.cpp
+++ b/src/forward/target_registry.cpp
@@ -10,8 +10,13 @@
 
 /// Returns whether \p A owns the token rather than \p B if both have the same one.
 bool precedes(const target &A, const target &B) {
-  return std::tie(A.TokenReleased, A.Registration.StartedMs, A.Registration.Name) <
-         std::tie(B.TokenReleased, B.Registration.StartedMs, B.Registration.Name);
+  const auto Rank = [](const target &Target) {
+    const target_registration &Entry = Target.Registration;
+    return std::tuple<bool, bool, bool, std::uint64_t, const std::string &>(
+        Target.TokenReleased, !Target.ServiceNamed, Entry.StartedMs == 0, Entry.StartedMs,
+        Entry.Name);
+  };
+  return Rank(A) < Rank(B);
 }
 
 } // namespace
@@ -36,6 +41,7 @@
   Entry->DrainingUntil = StaysDraining ? RecoveryEndsAt : instant{};
   Entry->Token = makeFlowToken(Registration.Number);
   Entry->Local = Registration.DataCentre == Settings.DataCentre;
+  Entry->ServiceNamed = isNamed(Registration.Service);
   Entry->Evacuated = Evacuated.contains(Registration.DataCentre);
   Entry->RemovedAt = Never;
   Entry->GoneAt = Never;
@@ -101,6 +107,16 @@
     Entry->Evacuated = Evacuated.contains(Entry->Registration.DataCentre);
 }
 
+void target_registry::setNamedServices(std::set<std::string> Names) {
+  if (NamedServices == Names)
+    return;
+  NamedServices = std::move(Names);
+  for (const auto &[Name, Entry] : Targets)
+    Entry->ServiceNamed = isNamed(Entry->Registration.Service);
+  if (Tokens.size() < Targets.size())
+    rebuildIndex();
+}
+
 void target_registry::expire(instant Now) {
   const std::size_t Erased = std::erase_if(Targets, [&](const auto &Entry) {
     return Entry.second->removed() && Entry.second->OpenFlows == 0 &&
--- a/src/forward/target_registry.h
+++ b/src/forward/target_registry.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -32,7 +33,8 @@
 /// Two targets may have the same token. The one whose process started first owns the token, and the
 /// other one gets no new flows. Targets state their start in their entries, so all balancers that
 /// have the same entries agree on the owner. The store's revisions don't serve for that: an entry
-/// that lapses and is written again has new ones.
+/// that lapses and is written again has new ones. An entry of a service that no route names, or
+/// without a start, may be another writer's, so it comes after the others.
 ///
 /// A balancer that started after the earlier target's entry was removed opens flows at the later
 /// target, while the others keep the token for the removed one until releaseToken().
@@ -54,6 +56,8 @@
                   const store_position &Position, instant Now);
   /// Sets the data centres whose targets get no new flows.
   void setEvacuated(const evacuation_table::data_centres &DataCentres);
+  /// Sets the services that routes name.
+  void setNamedServices(std::set<std::string> Names);
   /// The store came back from an older copy. Until \p EndsAt, a target that a list lacks stays in
   /// use like the others, and a draining one stays draining unless its process restarts.
   void beginRecovery(instant EndsAt) { RecoveryEndsAt = EndsAt; }
@@ -81,6 +85,9 @@
   std::size_t size() const { return Targets.size(); }
 
 private:
+  bool isNamed(const std::string &Service) const {
+    return NamedServices.empty() || NamedServices.contains(Service);
+  }
   /// Adds a target to Services and Tokens.
   void addToIndex(target &Target);
   /// Rebuilds Services and Tokens. Takes time in proportion to the number of targets.
@@ -88,6 +95,8 @@
 
   target_registry_settings Settings;
   evacuation_table::data_centres Evacuated;
+  /// Services that routes name; empty if no route is known.
+  std::set<std::string> NamedServices;
   instant RecoveryEndsAt{};
   std::map<std::string, std::unique_ptr<target>> Targets;
   std::map<std::string, std::vector<target *>, std::less<>> Services;
--- a/src/forwarder/forwarder.cpp
+++ b/src/forwarder/forwarder.cpp
@@ -182,7 +182,7 @@
                         startConfigurationWatcher();
                         receiveWhenReady();
                       }),
-        Configuration(Platform.Objects, Routes, Clock, Log, Counters,
+        Configuration(Platform.Objects, Routes, Targets, Clock, Log, Counters,
                       [this] { receiveWhenReady(); }),
         EvacuationChanges(Platform.Objects, Evacuations, Targets, Clock, Log, Counters),
         RegistrationCalls(Platform.Objects.registrationKind(), Log, Clock),
--- a/src/forwarder/route_listener.cpp
+++ b/src/forwarder/route_listener.cpp
@@ -5,10 +5,10 @@
 
 namespace briarpoint {
 
-route_listener::route_listener(const object_format &Format, route_table &Routes, time_source &Clock,
-                               event_log &Log, forwarder_counters &Counters,
-                               std::function<void()> OnList)
-    : Format(Format), Routes(Routes), Clock(Clock), Log(Log), Counters(Counters),
+route_listener::route_listener(const object_format &Format, route_table &Routes,
+                               target_registry &Targets, time_source &Clock, event_log &Log,
+                               forwarder_counters &Counters, std::function<void()> OnList)
+    : Format(Format), Routes(Routes), Targets(Targets), Clock(Clock), Log(Log), Counters(Counters),
       OnList(std::move(OnList)) {}
 
 void route_listener::apply(const stored_object &Object, std::uint64_t Era) {
@@ -28,6 +28,7 @@
         setInStore(Same, Configuration.Version);
       return;
     }
+    Targets.setNamedServices(Routes.services());
     InForce = Configuration;
     InForceEra = Era;
     logRefusedParts(Configuration);
--- a/src/forwarder/route_listener.h
+++ b/src/forwarder/route_listener.h
@@ -3,6 +3,7 @@
 
 #include "forward/object_format.h"
 #include "forward/route_table.h"
+#include "forward/target_registry.h"
 #include "forwarder/forwarder_counters.h"
 #include "io/time_source.h"
 #include "log/event_log.h"
@@ -19,9 +20,11 @@
 /// force is replaced only by one with the same number that operators wrote differently afterwards.
 class route_listener final : public object_listener {
 public:
-  /// Everything that is referred to must outlive the object. \p OnList is called after each list.
-  route_listener(const object_format &Format, route_table &Routes, time_source &Clock,
-                 event_log &Log, forwarder_counters &Counters, std::function<void()> OnList);
+  /// Everything that is referred to must outlive the object. \p Targets is told which services the
+  /// routes name. \p OnList is called after each list.
+  route_listener(const object_format &Format, route_table &Routes, target_registry &Targets,
+                 time_source &Clock, event_log &Log, forwarder_counters &Counters,
+                 std::function<void()> OnList);
 
   void onList(const std::vector<stored_object> &Objects, const store_position &Position) override;
   void onChanges(const std::vector<object_change> &Changes,
@@ -37,6 +40,7 @@
 
   const object_format &Format;
   route_table &Routes;
+  target_registry &Targets;
   time_source &Clock;
   event_log &Log;
   forwarder_counters &Counters;
--- a/tests/forward/target_registry_test.cpp
+++ b/tests/forward/target_registry_test.cpp
@@ -200,6 +200,34 @@
   EXPECT_EQ(Targets.findByToken(Token), Targets.find("i-a-late"));
 }
 
+// Guards against an entry of another writer that takes over the token of a host, whose open flows
+// are then sent to another address and reset (review, case 13).
+TEST_F(targets_with_the_same_token, tokenStaysWithAServiceThatRoutesName) {
+  Early.Service = "agent";
+  for (const bool NamedFirst : {true, false}) {
+    SCOPED_TRACE(NamedFirst);
+    target_registry Registry(makeSettings());
+    if (NamedFirst)
+      Registry.setNamedServices({"web"});
+    Registry.put(Late, Now);
+    Registry.put(Early, Now);
+    Registry.setNamedServices({"web"});
+    EXPECT_EQ(Registry.findByToken(Token)->Registration.Name, "i-a-late");
+    EXPECT_TRUE(Registry.find("i-a-late")->acceptsFlows(Now));
+    Registry.setNamedServices({"web", "agent"});
+    EXPECT_EQ(Registry.findByToken(Token)->Registration.Name, "i-b-early");
+  }
+}
+
+// Guards against the same by an entry of a named service that states no start, as a host always
+// does.
+TEST_F(targets_with_the_same_token, tokenStaysWithAProcessThatStatesItsStart) {
+  Late.StartedMs = 0;
+  Targets.put(Early, Now);
+  Targets.put(Late, Now);
+  EXPECT_EQ(Targets.findByToken(Token)->Registration.Name, "i-b-early");
+}
+
 // Guards against a token that stays with a target that has left: balancers that started after that
 // open flows at the later target.
 TEST_F(targets_with_the_same_token, tokenIsReleasedByARemovedTarget) {
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -83,9 +83,22 @@
   target_registry Targets{target_registry_settings()};
   packet_forwarder Forwarder{{}, Routes, Targets, Random, Latency};
   registration_listener Registrations{Format, Targets, Forwarder, Clock, Log, Counters, [] {}};
-  route_listener Configuration{Format, Routes, Clock, Log, Counters, [] {}};
+  route_listener Configuration{Format, Routes, Targets, Clock, Log, Counters, [] {}};
 };
 
+// Guards against routes whose services the registry of targets doesn't know (review, case 13).
+TEST_F(store_changes, tellWhichServicesRoutesName) {
+  list(target("i-1", "80"));
+  EXPECT_TRUE(Targets.find("i-1")->ServiceNamed);
+  const std::string Route = R"({"name":"r","hostname":"198.18.0.1","path_prefix":"/443/",)";
+  configure(R"({"version":1,"routes":[)" + Route + R"("service":"other"}]})");
+  EXPECT_FALSE(Targets.find("i-1")->ServiceNamed);
+  change(event(target("i-2", "81")));
+  EXPECT_FALSE(Targets.find("i-2")->ServiceNamed);
+  configure(R"({"version":2,"routes":[)" + Route + R"("backends":[{"service":"s","weight":1}]}]})");
+  EXPECT_TRUE(Targets.find("i-1")->ServiceNamed);
+}
+
 // Guards against an odd entry that hides the good ones of a list, or that nobody is told of: it
 // gives one log line and is counted.
 TEST_F(store_changes, inAListSkipOddEntries) {
