--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -418,12 +418,13 @@
   if (Outcome == call_outcome::Unanswered && Scheduler.now() < Call.WaitEndsAt)
     Group.reportInterruption(*this);
   // One watcher's retries show when the store is back. Calls that are refused are priced, too. A
-  // malformed answer shows that the store answers.
-  if (Outcome == call_outcome::Malformed)
+  // malformed answer, or one that is too large, shows that the store answers.
+  const bool Unusable = Outcome == call_outcome::Malformed || Outcome == call_outcome::TooLarge;
+  if (Unusable)
     Group.releaseRetry(*this);
   if (Position.Revision == 0)
     scheduleRetry(Settings.StartupBackoff, ConsecutiveFailures - 1);
-  else if (Outcome == call_outcome::Malformed)
+  else if (Unusable)
     scheduleRetry(Settings.Backoff, ConsecutiveFailures - 1);
   else if (Group.claimRetry(*this))
     scheduleRetry(Settings.Backoff, Group.failedRetries());
