--- a/src/config/document_parts.h
+++ b/src/config/document_parts.h
@@ -10,8 +10,6 @@
 
 namespace briarpoint {
 
-struct document_part;
-
 /// Which parts of a document that another program wrote are read. Everything else is skipped, so
 /// that the parts that are needed bound the memory, and not the size of the document.
 ///
@@ -20,8 +18,10 @@
 struct document_parts {
   static constexpr std::size_t Unlimited = std::numeric_limits<std::size_t>::max();
 
+  /// Name of the field, if the value is one of a table.
+  std::string Name = {};
   /// Fields of a table that are read. Of a field that appears twice, the first one is read.
-  std::vector<document_part> Fields = {};
+  std::vector<document_parts> Fields = {};
   /// Parts of each element of a list; at most one entry, none if the elements aren't read.
   std::vector<document_parts> Elements = {};
   /// A longer text is cut to this many bytes, with "..." behind them.
@@ -30,19 +30,9 @@
   /// a value, further limits have no effect.
   std::size_t MaxMemory = Unlimited;
 
-  bool operator==(const document_parts &) const;
+  bool operator==(const document_parts &) const = default;
 };
 
-/// A field that is read.
-struct document_part {
-  std::string Name;
-  document_parts Value = {};
-
-  bool operator==(const document_part &) const = default;
-};
-
-inline bool document_parts::operator==(const document_parts &) const = default;
-
 /// An element of a list, of which the parts were read.
 struct document_element {
   document_value Value;
--- a/src/config/part_builder.cpp
+++ b/src/config/part_builder.cpp
@@ -26,7 +26,7 @@
   const open_value &Parent = Open.back();
   if (std::holds_alternative<document_value::array>(Parent.Value.Content))
     return Parent.Parts->Elements.empty() ? nullptr : &Parent.Parts->Elements.front();
-  return Parent.Field == nullptr ? nullptr : &Parent.Field->Value;
+  return Parent.Field;
 }
 
 bool part_builder::name(std::string_view Name) {
@@ -36,7 +36,7 @@
   const auto &Wanted = Parent.Parts->Fields;
   const auto &Read = std::get<document_value::table>(Parent.Value.Content);
   const auto Found = std::find_if(Wanted.begin(), Wanted.end(),
-                                  [&](const document_part &Part) { return Part.Name == Name; });
+                                  [&](const document_parts &Part) { return Part.Name == Name; });
   const bool Repeated = std::any_of(
       Read.begin(), Read.end(), [&](const document_field &Field) { return Field.Name == Name; });
   Parent.Field = Found == Wanted.end() || Repeated ? nullptr : &*Found;
--- a/src/config/part_builder.h
+++ b/src/config/part_builder.h
@@ -59,7 +59,7 @@
     const document_parts *Parts;
     document_value Value;
     /// The field of a table whose value comes next; nullptr if it isn't read.
-    const document_part *Field = nullptr;
+    const document_parts *Field = nullptr;
   };
 
   /// Returns which parts of the next value are read; nullptr if none.
--- a/tests/config/json_reader_test.cpp
+++ b/tests/config/json_reader_test.cpp
@@ -19,8 +19,8 @@
 /// Reads the fields "a" and "last", the lists in "deep" two levels down, and nothing else.
 class parts_of_json : public testing::Test {
 protected:
-  const document_parts Lists{.Elements = {{.Elements = {{}}}}};
-  const document_parts Parts{.Fields = {{"a"}, {"deep", Lists}, {"last", {.MaxTextSize = 4}}}};
+  const document_parts Lists{.Name = "deep", .Elements = {{.Elements = {{}}}}};
+  const document_parts Parts{.Fields = {{"a"}, Lists, {.Name = "last", .MaxTextSize = 4}}};
 
   document_value::table read(const std::string &Text) const {
     return std::get<document_value::table>(readJsonParts(Text, "test", Parts).Content);
@@ -66,9 +66,9 @@
     void add(document_element Element) override { Elements.push_back(std::move(Element)); }
     std::vector<document_element> Elements;
   };
-  const document_parts Limited{.Elements = {{.Elements = {{}}}}, .MaxMemory = 1000};
-  const document_parts Parts{
-      .Fields = {{"items", {.Elements = {{.Fields = {{"id"}, {"x", Limited}, {"y"}}}}}}, {"end"}}};
+  const document_parts Limited{.Name = "x", .Elements = {{.Elements = {{}}}}, .MaxMemory = 1000};
+  const document_parts Item{.Fields = {{"id"}, Limited, {"y"}}};
+  const document_parts Parts{.Fields = {{.Name = "items", .Elements = {Item}}, {"end"}}};
   const std::string Large = "[[" + std::string(40, ' ') + "1,[1],1,1,1,1,1,1,1,1,1,1,1,1,1],[2]]";
   const std::string Text = R"({"items":[{"id":1,"x":[[1,2],[3]],"y":1},{"x":)" + Large +
                            R"(,"id":2,"y":2},{"id":3,"x":[[4]],"y":3}],"end":true})";
