--- a/src/forward/inferred_health.h
+++ b/src/forward/inferred_health.h
@@ -78,8 +78,9 @@
   /// The target answers none of its callers, so their flows should be reset.
   bool dead(instant Now) const {
     const duration Span = LastRepeatAt - FirstRepeatAt;
-    return silent(Now) && ((RepeatingFlows >= DeadAfterFlows && Span >= DeadAfterFlowsSpan) ||
-                           (RecentRepeats >= DeadAfterRepeats && Span >= DeadAfterRepeatsSpan));
+    return RecentRepeats >= SuspectAfterRepeats && Now < LastRepeatAt + DeadEvidenceLifetime &&
+           ((RepeatingFlows >= DeadAfterFlows && Span >= DeadAfterFlowsSpan) ||
+            (RecentRepeats >= DeadAfterRepeats && Span >= DeadAfterRepeatsSpan));
   }
 
   /// Callers repeated packets recently, and no answer has been seen since the first repeat.
--- a/src/forward/target_state_message.h
+++ b/src/forward/target_state_message.h
@@ -35,9 +35,8 @@
     Failures = 10,
     /// The targets fail in part.
     Failing = 11,
-    /// The targets were found to answer nobody. Value is the time since then in milliseconds. Type
-    /// 9
-    /// was this without a time, and must not be used again.
+    /// The targets were found to answer nobody. Value is the time since then in milliseconds.
+    /// (Type 9 was this without a time, and must not be used again.)
     Dead = 12,
   };
   struct entry {
--- a/tests/forward/forwarding_to_two_targets_test.cpp
+++ b/tests/forward/forwarding_to_two_targets_test.cpp
@@ -226,6 +226,16 @@
   EXPECT_TRUE(sweep().empty());
 }
 
+// Guards against a target that counts as dead for longer than its callers' repeats show.
+TEST_F(forwarding_to_a_silent_target, countsAsDeadForASecondAfterTheLastRepeat) {
+  sendWithoutAnswer();
+  repeatAgain();
+  EXPECT_TRUE(First.Health.dead(Now + milliseconds(999)));
+  EXPECT_FALSE(First.Health.dead(Now + seconds(1)));
+  EXPECT_TRUE(First.Health.silent(Now + milliseconds(1999)));
+  EXPECT_FALSE(First.Health.silent(Now + seconds(2)));
+}
+
 // Guards against broken flows to a target that lost one packet or is slow for one caller.
 TEST_F(forwarding_to_a_silent_target, keepsFlowsIfAnyCallerGetsAnAnswer) {
   ASSERT_GE(Ports.size(), 3U);
