--- a/bench/store_memory_bench.cpp
+++ b/bench/store_memory_bench.cpp
@@ -175,7 +175,7 @@
   std::unique_ptr<evhttp, server_deleter> Server;
 };
 
-/// Returns the line of /proc that states the highest resident memory of a process, in kB.
+/// Returns the highest resident memory of a process so far, in kB.
 std::size_t peakMemoryKb(pid_t Process) {
   std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
   for (std::string Line; std::getline(Status, Line);)
