--- a/src/config/msgpack_reader.cpp
+++ b/src/config/msgpack_reader.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Passes the values that a part_builder wants from a msgpack_cursor to it. The depth of the
+/// Passes the values that a part_builder reads from a msgpack_cursor to it. The depth of the
 /// recursion is that of the document_parts.
 class msgpack_part_parser {
 public:
@@ -16,7 +16,7 @@
 
   /// Returns false if the bytes end within the value or are not MessagePack.
   bool parseValue() {
-    if (!Builder.wantsNext())
+    if (!Builder.isNextRead())
       return Cursor.skip();
     msgpack_head Head;
     if (!Cursor.read(Head))
--- a/src/config/part_builder.cpp
+++ b/src/config/part_builder.cpp
@@ -33,18 +33,18 @@
   if (SkippedLevels > 0 || Dropped)
     return true;
   open_value &Parent = Open.back();
-  const auto &Wanted = Parent.Parts->Fields;
+  const auto &Fields = Parent.Parts->Fields;
   const auto &Read = std::get<document_value::table>(Parent.Value.Content);
-  const auto Found = std::find_if(Wanted.begin(), Wanted.end(),
+  const auto Found = std::find_if(Fields.begin(), Fields.end(),
                                   [&](const document_parts &Part) { return Part.Name == Name; });
   const bool Repeated = std::any_of(
       Read.begin(), Read.end(), [&](const document_field &Field) { return Field.Name == Name; });
-  Parent.Field = Found == Wanted.end() || Repeated ? nullptr : &*Found;
+  Parent.Field = Found == Fields.end() || Repeated ? nullptr : &*Found;
   return true;
 }
 
 bool part_builder::text(std::string_view Value) {
-  if (!wantsNext())
+  if (!isNextRead())
     return true;
   const std::size_t MaxSize = nextParts()->MaxTextSize;
   if (Value.size() <= MaxSize)
@@ -53,7 +53,7 @@
 }
 
 bool part_builder::add(document_value Value) {
-  if (wantsNext())
+  if (isNextRead())
     attach(std::move(Value));
   return true;
 }
--- a/src/config/part_builder.h
+++ b/src/config/part_builder.h
@@ -22,7 +22,7 @@
 
   /// Returns whether a part of the next value is read. A parser that can find the end of a value
   /// without events need not pass the events of other ones.
-  bool wantsNext() const { return SkippedLevels == 0 && nextParts() != nullptr; }
+  bool isNextRead() const { return SkippedLevels == 0 && nextParts() != nullptr; }
 
   bool null() override { return add(std::monostate{}); }
   bool boolean(bool Value) override { return add(Value); }
--- a/src/forwarder/route_listener.h
+++ b/src/forwarder/route_listener.h
@@ -20,7 +20,7 @@
 /// force is replaced only by one with the same number that operators wrote differently afterwards.
 class route_listener final : public object_listener {
 public:
-  /// Everything that is referred to must outlive the object. \p Targets is told which services the
+  /// Everything that is referred to must outlive the object. \p Targets gets the services that the
   /// routes name. \p OnList is called after each list.
   route_listener(const object_format &Format, route_table &Routes, target_registry &Targets,
                  time_source &Clock, event_log &Log, forwarder_counters &Counters,
--- a/tests/forward/dead_target_test.cpp
+++ b/tests/forward/dead_target_test.cpp
@@ -537,7 +537,7 @@
               (std::vector{target_state_message{type::Dead, {{Web1, 0}}}}));
   }
   sweepFor(milliseconds(2000), {}, 1);
-  // Each announcement tells how long ago the target was found dead.
+  // Each announcement states how long ago the target was found dead.
   ASSERT_EQ(Sender.Sent[instance(3)].size(), 3U);
   EXPECT_EQ(Sender.Sent[instance(3)][2].Entries[0].Value, 2000U);
   sweepFor(seconds(8), {}, 1);
--- a/tests/forward/packet_forwarder_test.cpp
+++ b/tests/forward/packet_forwarder_test.cpp
@@ -152,7 +152,7 @@
 
 // Guards against repeats of packets that this balancer dropped, which count as the silence of a
 // target that never received them, and end its flows (soak, seed 88101).
-TEST_F(forwarding_to_one_target, blamesNoTargetForPacketsThatItDropped) {
+TEST_F(forwarding_to_one_target, ignoresRepeatsOfPacketsThatItDropped) {
   const flow_token Later = makeFlowToken(77);
   const std::vector<std::uint16_t> Ports{7, 8, 9};
   for (const int Wait : {0, 200}) {
--- a/tests/io/http_connection_test.cpp
+++ b/tests/io/http_connection_test.cpp
@@ -82,7 +82,7 @@
 }
 
 // Guards against a response that is larger than the request allows, whose content is then received
-// in vain again and again, because it can't be told from one that is missing (review, case 14).
+// in vain again and again, because it looks like one that is missing (review, case 14).
 TEST_P(response_in_parts, isRefusedAsTooLarge) {
   const bool Chunked = GetParam().Headers.starts_with("Transfer");
   sendPart("HTTP/1.1 200 OK\r\n" +
--- a/tests/platform_adapter/object_listeners_test.cpp
+++ b/tests/platform_adapter/object_listeners_test.cpp
@@ -86,7 +86,7 @@
   route_listener Configuration{Format, Routes, Targets, Clock, Log, Counters, [] {}};
 };
 
-// Guards against routes whose services the registry of targets doesn't know (review, case 13).
+// Guards against routes whose services don't reach the registry of targets (review, case 13).
 TEST_F(store_changes, tellWhichServicesRoutesName) {
   list(target("i-1", "80"));
   EXPECT_TRUE(Targets.find("i-1")->ServiceNamed);
