--- a/tests/forward/dead_target_test.cpp
+++ b/tests/forward/dead_target_test.cpp
@@ -324,6 +324,22 @@
   EXPECT_TRUE(sweep().empty());
 }
 
+// Guards against a finding that holds on at a balancer that gets no further message, because it is
+// cut off alone, or when the target's entry is written again in a new era of the store.
+TEST_F(balancer_with_findings, keepsFlowsOnceTheLastFindingIsOld) {
+  receive(type::Dead, {1});
+  Now += milliseconds(1999);
+  EXPECT_TRUE(targetAt(1).foundDeadRecently(Now));
+  target_registration Again = targetAt(1).Registration;
+  ++Again.Era;
+  Targets.put(Again, Now);
+  EXPECT_TRUE(targetAt(1).foundDeadRecently(Now));
+  Now += milliseconds(1);
+  EXPECT_TRUE(targetAt(1).foundDead(Now));
+  expectDecision(send(7, targetAt(1).Token, 500), forward_action::Forward, forward_reason::Open);
+  EXPECT_TRUE(sweep().empty());
+}
+
 // Guards against findings that end flows later than the platform's contact time allows.
 TEST_F(balancer_with_findings, keepsFlowsLongerIfTheContactTimeIsShort) {
   dead_target_exchange Short{instance(9), milliseconds(2500), Targets, Suspicions, Sender};
